--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Every target works on a fresh clone with Python 3.11 and pip.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+SOURCES := teaselcove tests standins
+
+.PHONY: venv lint format unit test demo bench
+
+$(VENV)/installed: pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+venv: $(VENV)/installed
+
+lint: venv
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+
+format: venv
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+	$(VENV)/bin/ruff format $(SOURCES)
+
+unit: venv
+	$(PYTHON) -m pytest
+
+test: lint unit
+
+demo: venv
+	$(PYTHON) -m standins.demo
--- /dev/null
+++ b/teaselcove/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for backend servers with gray failures."""
--- /dev/null
+++ b/teaselcove/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the `teaselcove` command line."""
--- /dev/null
+++ b/teaselcove/ids.py
@@ -0,0 +1,26 @@
+"""Identifiers and time types used across the package."""
+
+from typing import NewType
+
+HostId = NewType('HostId', str)
+ZoneName = NewType('ZoneName', str)
+OrganisationId = NewType('OrganisationId', str)
+KeyId = NewType('KeyId', str)
+ServiceId = NewType('ServiceId', str)
+RouteId = NewType('RouteId', str)
+BackendServerId = NewType('BackendServerId', str)
+RequestId = NewType('RequestId', str)
+AttemptId = NewType('AttemptId', int)
+AppendId = NewType('AppendId', str)
+ApplyId = NewType('ApplyId', str)
+TimerId = NewType('TimerId', int)
+Incarnation = NewType('Incarnation', int)
+Version = NewType('Version', int)
+Offset = NewType('Offset', int)
+StreamName = NewType('StreamName', str)
+
+# Monotonic time in seconds. Each function that decides takes it as argument.
+Instant = NewType('Instant', float)
+
+# Organisation of requests without a key on routes that are open to all.
+OPEN_ORGANISATION = OrganisationId('open')
--- /dev/null
+++ b/teaselcove/jsonc.py
@@ -0,0 +1,165 @@
+"""Parser of JSON with comments that keeps line numbers."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from lark import Lark, Token, Transformer, v_args
+from lark.exceptions import UnexpectedInput
+
+from teaselcove.errors import FieldError
+
+GRAMMAR = r"""
+start: node
+?node: object | array | string | number | literal
+object: "{" [pair ("," pair)* [","]] "}"
+pair: STRING ":" node
+array: "[" [node ("," node)* [","]] "]"
+string: STRING
+number: NUMBER
+literal: LITERAL
+LITERAL: "true" | "false" | "null"
+STRING: /"(\\.|[^"\\\n])*"/
+NUMBER: /-?(0|[1-9][0-9]*)(\.[0-9]+)?([eE][+-]?[0-9]+)?/
+COMMENT: /\/\/[^\n]*/ | /\/\*(.|\n)*?\*\//
+%ignore COMMENT
+%ignore /[ \t\r\n]+/
+"""
+
+Step = str | int
+Steps = tuple[Step, ...]
+
+
+class Document(msgspec.Struct):
+    """A parsed file.
+
+    Attributes:
+        path: The file's path.
+        root: The data, as the module `json` would give it.
+        lines: Line of each value by its path of names and indices.
+    """
+
+    path: str
+    root: Any
+    lines: dict[Steps, int]
+
+    def line_of(self, steps: Steps) -> int:
+        """Returns the line of a value or of its nearest parent."""
+        for length in range(len(steps), -1, -1):
+            line = self.lines.get(steps[:length])
+            if line is not None:
+                return line
+        return 1
+
+    def error(self, steps: Steps, problem: str) -> FieldError:
+        """Returns an error that names the place of a value."""
+        names = '.'.join(str(step) for step in steps)
+        return FieldError(self.path, self.line_of(steps), names, problem)
+
+
+class Node(msgspec.Struct):
+    """A value with its line, before lines are collected."""
+
+    line: int
+    value: Any
+
+
+class Pair(msgspec.Struct):
+    """A member of an object."""
+
+    line: int
+    name: str
+    node: Node
+
+
+@v_args(inline=True)
+class TreeBuilder(Transformer):
+    """Turns the parse tree into nodes."""
+
+    def start(self, node: Node) -> Node:
+        """Returns the outermost value."""
+        return node
+
+    def string(self, token: Token) -> Node:
+        """Returns a string."""
+        return Node(token.line, json.loads(token))
+
+    number = string
+    literal = string
+
+    def pair(self, token: Token, node: Node) -> Pair:
+        """Returns a member of an object."""
+        return Pair(token.line, json.loads(token), node)
+
+    @v_args(inline=False, meta=True)
+    def object(self, meta: Any, children: list[Pair | None]) -> Node:
+        """Returns an object."""
+        members = [child for child in children if child is not None]
+        return Node(getattr(meta, 'line', 1), members)
+
+    @v_args(inline=False, meta=True)
+    def array(self, meta: Any, children: list[Node | None]) -> Node:
+        """Returns an array."""
+        nodes = [child for child in children if child is not None]
+        return Node(getattr(meta, 'line', 1), tuple(nodes))
+
+
+parser = Lark(
+    GRAMMAR,
+    parser='lalr',
+    propagate_positions=True,
+    maybe_placeholders=False,
+)
+builder = TreeBuilder()
+
+
+def parse(text: str, path: str = '<text>') -> Document:
+    """Parses JSON with comments.
+
+    Raises:
+        FieldError: If the text is not valid or a name stands twice.
+    """
+    try:
+        tree = parser.parse(text)
+    except UnexpectedInput as error:
+        line = max(1, getattr(error, 'line', 1))
+        raise FieldError(path, line, '', 'not valid JSON') from error
+    node = builder.transform(tree)
+    document = Document(path, None, {})
+    document.root = collect(document, (), node)
+    return document
+
+
+def collect(document: Document, steps: Steps, node: Node) -> Any:
+    """Returns plain data and notes the line of each value."""
+    document.lines[steps] = node.line
+    if isinstance(node.value, list):
+        members: dict[str, Any] = {}
+        for pair in node.value:
+            place = (*steps, pair.name)
+            if pair.name in members:
+                document.lines[place] = pair.line
+                raise document.error(place, 'name stands twice')
+            members[pair.name] = collect(document, place, pair.node)
+            document.lines[place] = pair.line
+        return members
+    if isinstance(node.value, tuple):
+        return [
+            collect(document, (*steps, index), child)
+            for index, child in enumerate(node.value)
+        ]
+    return node.value
+
+
+def load(path: Path) -> Document:
+    """Parses a file.
+
+    Raises:
+        FieldError: If the file cannot be read or is not valid.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise FieldError(str(path), 1, '', str(error)) from error
+    return parse(text, str(path))
--- /dev/null
+++ b/teaselcove/keys.py
@@ -0,0 +1,56 @@
+"""Hashing, checking and issuing of callers' keys."""
+
+import hashlib
+import hmac
+import secrets
+
+from teaselcove.entities import Key
+from teaselcove.ids import KeyId, OrganisationId
+from teaselcove.kernel import Kernel, services
+
+PREFIX = 'tc'
+KEY_ID_BYTES = 8
+SECRET_BYTES = 24
+SALT_BYTES = 8
+
+
+def hash_secret(salt: str, secret: str) -> str:
+    """Returns the hexadecimal hash that is stored for a secret."""
+    return hashlib.sha256(bytes.fromhex(salt) + secret.encode()).hexdigest()
+
+
+def issue(organisation: OrganisationId) -> tuple[Key, str]:
+    """Returns a new key as stored and the text for the caller."""
+    key_id = KeyId(secrets.token_hex(KEY_ID_BYTES))
+    secret = secrets.token_hex(SECRET_BYTES)
+    salt = secrets.token_hex(SALT_BYTES)
+    key = Key(key_id, organisation, salt, hash_secret(salt, secret))
+    return key, f'{PREFIX}_{key_id}_{secret}'
+
+
+def split(text: str) -> tuple[KeyId, str] | None:
+    """Returns key id and secret of a key's text, or None."""
+    parts = text.split('_')
+    if len(parts) != 3 or parts[0] != PREFIX:
+        return None
+    return KeyId(parts[1]), parts[2]
+
+
+@services.register('keys')
+class Keys:
+    """Checks keys against the configuration in force."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    def check(self, text: str) -> Key | None:
+        """Returns the key in force that matches a text, or None."""
+        parts = split(text)
+        if parts is None:
+            return None
+        key_id, secret = parts
+        key = self.kernel.service('configuration').key(key_id)
+        if key is None:
+            return None
+        presented = hash_secret(key.salt, secret)
+        return key if hmac.compare_digest(presented, key.hash) else None
--- /dev/null
+++ b/teaselcove/rates.py
@@ -0,0 +1,155 @@
+"""Rate and burst of organisations across all hosts."""
+
+from enum import Enum
+from typing import Any, Protocol
+
+import msgspec
+
+from teaselcove.ids import OPEN_ORGANISATION, Instant, OrganisationId, RequestId
+from teaselcove.kernel import Kernel, services
+from teaselcove.registry import Registry
+
+
+class RateState(Enum):
+    """Answer to a request for one token."""
+
+    GRANTED = 'granted'
+    REFUSED = 'refused'
+    UNAVAILABLE = 'unavailable'
+    PENDING = 'pending'
+
+
+class RateVerdict(msgspec.Struct, frozen=True):
+    """Decision about one request.
+
+    Attributes:
+        retry_after: Seconds until a token is likely, when refused.
+    """
+
+    state: RateState
+    retry_after: float | None = None
+
+
+class Limiter(Protocol):
+    """Interface of the policies that enforce rates."""
+
+    def take(
+        self,
+        request_id: RequestId,
+        organisation: OrganisationId,
+        now: Instant,
+    ) -> RateVerdict:
+        """Takes one token of an organisation."""
+
+    def cancel(self, request_id: RequestId, now: Instant) -> None:
+        """Forgets a pending request."""
+
+
+limiters: Registry[Any] = Registry('limiter')
+
+GRANTED = RateVerdict(RateState.GRANTED)
+
+
+class Bucket:
+    """A token bucket that starts empty.
+
+    Attributes:
+        rate: Tokens per second.
+        capacity: Most tokens that the bucket holds.
+        level: Tokens at the time of the last update.
+    """
+
+    def __init__(self, rate: float, capacity: float, now: Instant) -> None:
+        self.rate = rate
+        self.capacity = capacity
+        self.level = float(0)
+        self.updated = now
+
+    def refill(self, now: Instant) -> None:
+        """Adds the tokens of the time that has passed."""
+        earned = max(0, now - self.updated) * self.rate
+        self.level = min(self.capacity, self.level + earned)
+        self.updated = max(self.updated, now)
+
+    def take(self, now: Instant) -> bool:
+        """Takes one token if there is one."""
+        self.refill(now)
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+@limiters.register('unlimited')
+class UnlimitedLimiter:
+    """Grants every request; for experiments that leave rates out."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    def take(
+        self,
+        request_id: RequestId,
+        organisation: OrganisationId,
+        now: Instant,
+    ) -> RateVerdict:
+        """Grants the request."""
+        return GRANTED
+
+    def cancel(self, request_id: RequestId, now: Instant) -> None:
+        """Does nothing: no request is ever pending."""
+
+
+@limiters.register('static')
+class StaticLimiter:
+    """Gives each listed host an equal share of rate and burst."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.buckets: dict[OrganisationId, Bucket] = {}
+
+    def take(
+        self,
+        request_id: RequestId,
+        organisation: OrganisationId,
+        now: Instant,
+    ) -> RateVerdict:
+        """Takes one token of this host's share."""
+        declared = self.kernel.service('configuration').organisation(
+            organisation
+        )
+        hosts = max(1, len(self.kernel.service('membership').hosts))
+        bucket = self.buckets.setdefault(organisation, Bucket(0, 0, now))
+        bucket.rate = declared.rate / hosts
+        bucket.capacity = declared.burst / hosts
+        if bucket.take(now):
+            return GRANTED
+        return RateVerdict(RateState.REFUSED, 1 / bucket.rate)
+
+    def cancel(self, request_id: RequestId, now: Instant) -> None:
+        """Does nothing: no request is ever pending."""
+
+
+@services.register('rates')
+class Rates:
+    """Asks the limiter that the settings choose."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        name = kernel.settings.policies.limiter
+        self.limiter: Limiter = limiters.get(name)(kernel)
+
+    def take(
+        self,
+        request_id: RequestId,
+        organisation: OrganisationId,
+        now: Instant,
+    ) -> RateVerdict:
+        """Takes one token; requests without a key have no rate."""
+        if organisation == OPEN_ORGANISATION:
+            return GRANTED
+        return self.limiter.take(request_id, organisation, now)
+
+    def cancel(self, request_id: RequestId, now: Instant) -> None:
+        """Forgets a pending request."""
+        self.limiter.cancel(request_id, now)
--- /dev/null
+++ b/teaselcove/requests.py
@@ -0,0 +1,398 @@
+"""State machine of each request from arrival to answer."""
+
+import itertools
+from enum import Enum
+
+import msgspec
+
+from teaselcove.admission import Ticket
+from teaselcove.attempts import Attempt
+from teaselcove.claims import ClaimResult, ClaimState
+from teaselcove.effects import Answer, CancelAttempt, Dial, Refuse
+from teaselcove.entities import Route, Server
+from teaselcove.errors import Outcome, Reason, Refusal, not_run
+from teaselcove.events import (
+    AttemptFinished,
+    AttemptResult,
+    CallerGone,
+    RequestArrived,
+)
+from teaselcove.ids import (
+    OPEN_ORGANISATION,
+    AttemptId,
+    BackendServerId,
+    Instant,
+    KeyId,
+    OrganisationId,
+    RequestId,
+    TimerId,
+)
+from teaselcove.kernel import Kernel, on, services
+from teaselcove.rates import RateState, RateVerdict
+from teaselcove.retries import NOT_STARTED, RetryVerdict
+
+MS_PER_S = 1000
+
+
+class Stage(Enum):
+    """What a request is waiting for."""
+
+    ARRIVED = 'arrived'
+    RATE = 'rate'
+    CLAIM = 'claim'
+    QUEUED = 'queued'
+    RUNNING = 'running'
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """For whom a request runs; the key id is None on open routes."""
+
+    organisation: OrganisationId
+    key_id: KeyId | None
+
+
+class RequestState(msgspec.Struct):
+    """A request in progress.
+
+    Attributes:
+        deadline: When the caller stops waiting.
+        claimed: Whether a claim was recorded for it.
+        may_have_run: Whether an attempt may have started at a server.
+        caller_gone: Whether nobody waits for the answer.
+        tried: Servers that failed it.
+    """
+
+    arrival: RequestArrived
+    route: Route
+    identity: Identity
+    idempotent: bool
+    deadline: Instant
+    stage: Stage = Stage.ARRIVED
+    claimed: bool = False
+    may_have_run: bool = False
+    caller_gone: bool = False
+    attempts: int = 0
+    attempt: Attempt | None = None
+    tried: frozenset[BackendServerId] = frozenset()
+    timer: TimerId | None = None
+
+    @property
+    def request_id(self) -> RequestId:
+        """The id of the request."""
+        return self.arrival.request_id
+
+
+@services.register('requests')
+class Requests:
+    """Takes each request through the services in order."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.states: dict[RequestId, RequestState] = {}
+        self.by_attempt: dict[AttemptId, Attempt] = {}
+        self.attempt_ids = itertools.count(1)
+
+    @on(RequestArrived)
+    def request_arrived(self, event: RequestArrived, now: Instant) -> None:
+        """Checks route and key, then asks for a token of the rate."""
+        accepted = self.accept(event, now)
+        if isinstance(accepted, Refusal):
+            self.emit_refusal(event.request_id, accepted)
+            return
+        self.states[event.request_id] = accepted
+        accepted.timer = self.kernel.call_at(
+            accepted.deadline, lambda later: self.expire(accepted, later)
+        )
+        self.kernel.service('retries').request_arrived(now)
+        accepted.stage = Stage.RATE
+        verdict = self.kernel.service('rates').take(
+            event.request_id, accepted.identity.organisation, now
+        )
+        if verdict.state is not RateState.PENDING:
+            self.rate_decided(event.request_id, verdict, now)
+
+    def accept(
+        self, event: RequestArrived, now: Instant
+    ) -> RequestState | Refusal:
+        """Returns the state of a valid request, or its refusal."""
+        configuration = self.kernel.service('configuration')
+        if not configuration.version:
+            return not_run(Reason.NO_CONFIGURATION)
+        route = configuration.route_for(event.path)
+        if route is None:
+            return not_run(Reason.NO_ROUTE)
+        identity = self.identify(event, route, now)
+        if isinstance(identity, Refusal):
+            return identity
+        if self.kernel.service('retries').is_crashing(event.body_digest, now):
+            return not_run(Reason.CRASHING_REQUEST)
+        timeout = route.timeout_ms / MS_PER_S
+        if event.timeout is not None:
+            timeout = min(timeout, event.timeout)
+        return RequestState(
+            event,
+            route,
+            identity,
+            route.is_idempotent(event.method, event.path),
+            Instant(now + timeout),
+        )
+
+    def identify(
+        self, event: RequestArrived, route: Route, now: Instant
+    ) -> Identity | Refusal:
+        """Returns for whom a request runs, or why it may not."""
+        if event.key is None and route.open:
+            return Identity(OPEN_ORGANISATION, None)
+        if not self.kernel.service('configuration').may_serve(now):
+            return not_run(Reason.ISOLATED)
+        key = None
+        if event.key is not None:
+            key = self.kernel.service('keys').check(event.key)
+        if key is None:
+            return not_run(Reason.BAD_KEY)
+        allowed = route.organisations
+        if allowed and key.organisation not in allowed:
+            return not_run(Reason.NOT_ALLOWED)
+        return Identity(key.organisation, key.id)
+
+    def rate_decided(
+        self, request_id: RequestId, verdict: RateVerdict, now: Instant
+    ) -> None:
+        """Goes on after the limiter's decision."""
+        state = self.states.get(request_id)
+        if state is None or state.stage is not Stage.RATE:
+            return
+        if verdict.state is RateState.REFUSED:
+            self.refuse(state, not_run(Reason.RATE, verdict.retry_after), now)
+            return
+        if verdict.state is RateState.UNAVAILABLE:
+            self.refuse(state, not_run(Reason.RATE_UNAVAILABLE), now)
+            return
+        if state.idempotent or state.arrival.idempotency_key is None:
+            self.enqueue(state, now)
+            return
+        state.stage = Stage.CLAIM
+        claim = self.kernel.service('claims').acquire(
+            request_id,
+            state.identity.organisation,
+            state.arrival.idempotency_key,
+            state.arrival.body_digest,
+            now,
+        )
+        if claim.state is not ClaimState.PENDING:
+            self.claim_decided(request_id, claim, now)
+
+    def claim_decided(
+        self, request_id: RequestId, claim: ClaimResult, now: Instant
+    ) -> None:
+        """Goes on after the decision about the claim."""
+        state = self.states.get(request_id)
+        if state is None or state.stage is not Stage.CLAIM:
+            return
+        if claim.state is ClaimState.GRANTED:
+            state.claimed = True
+            self.enqueue(state, now)
+        elif claim.state is ClaimState.RECALLED:
+            self.drop(state, now)
+            self.kernel.decide('recall', request=request_id)
+            self.kernel.emit(Answer(request_id, None, claim.answer))
+        elif claim.refusal is not None:
+            self.refuse(state, claim.refusal, now)
+
+    def enqueue(self, state: RequestState, now: Instant) -> None:
+        """Queues a request for a slot of its service."""
+        state.stage = Stage.QUEUED
+        organisation = self.kernel.service('configuration').organisation(
+            state.identity.organisation
+        )
+        ticket = Ticket(
+            state.request_id,
+            state.identity.organisation,
+            state.route.service,
+            organisation.weight if organisation else 1,
+            state.deadline,
+            state.tried,
+        )
+        refusal = self.kernel.service('admission').offer(ticket, now)
+        if refusal is not None:
+            self.refuse(state, refusal, now)
+
+    def dispatch(
+        self, request_id: RequestId, server: Server, now: Instant
+    ) -> None:
+        """Starts an attempt, unless the key was withdrawn meanwhile."""
+        state = self.states[request_id]
+        if not self.is_key_in_force(state):
+            self.refuse(state, not_run(Reason.BAD_KEY), now)
+            return
+        attempt = Attempt(
+            AttemptId(next(self.attempt_ids)),
+            request_id,
+            state.route.service,
+            server.id,
+            state.identity.organisation,
+            state.idempotent,
+            state.arrival.body_digest,
+            now,
+        )
+        state.stage = Stage.RUNNING
+        state.attempt = attempt
+        state.attempts += 1
+        self.by_attempt[attempt.attempt_id] = attempt
+        self.kernel.service('routing').started(attempt, now)
+        self.kernel.service('health').started(attempt, now)
+        service = self.kernel.service('configuration').service(
+            state.route.service
+        )
+        self.kernel.emit(
+            Dial(
+                attempt.attempt_id,
+                request_id,
+                server.id,
+                server.address,
+                state.identity.organisation,
+                state.deadline - now,
+                echo_request_id=service.echo_request_id,
+            )
+        )
+
+    def is_key_in_force(self, state: RequestState) -> bool:
+        """Returns whether the request's key is still valid."""
+        key_id = state.identity.key_id
+        if key_id is None:
+            return True
+        return self.kernel.service('configuration').key(key_id) is not None
+
+    @on(AttemptFinished)
+    def attempt_finished(self, event: AttemptFinished, now: Instant) -> None:
+        """Notes the evidence, then answers, retries or refuses."""
+        attempt = self.by_attempt.pop(event.attempt_id, None)
+        if attempt is None:
+            return
+        routing = self.kernel.service('routing')
+        routing.finished(attempt, event.result, now)
+        if event.leaving:
+            routing.note_leaving(attempt.server, now)
+        self.kernel.service('health').finished(
+            attempt, event.result, event.status, now
+        )
+        state = self.states.get(attempt.request_id)
+        if state is not None and state.attempt is attempt:
+            self.settle(state, event, now)
+        self.kernel.service('admission').dispatch(attempt.service, now)
+
+    def settle(
+        self, state: RequestState, event: AttemptFinished, now: Instant
+    ) -> None:
+        """Decides what follows the end of a request's attempt."""
+        attempt = state.attempt
+        state.attempt = None
+        if event.result not in NOT_STARTED:
+            state.may_have_run = True
+        verdict = self.kernel.service('retries').decide(
+            attempt, event.result, event.status, state.attempts, now
+        )
+        if verdict is RetryVerdict.RETRY and not state.caller_gone:
+            self.kernel.decide(
+                'retry',
+                request=state.request_id,
+                server=attempt.server,
+                result=event.result.value,
+                attempts=state.attempts,
+            )
+            state.tried = state.tried | {attempt.server}
+            self.enqueue(state, now)
+        elif event.result is AttemptResult.COMPLETE:
+            self.answer(state, event, now)
+        else:
+            self.refuse(state, self.final_refusal(state), now)
+
+    def final_refusal(self, state: RequestState) -> Refusal:
+        """Returns the refusal after the last attempt."""
+        if state.may_have_run:
+            return Refusal(Outcome.UNKNOWN, Reason.ANSWER_LOST)
+        return not_run(Reason.NO_SERVER, 1)
+
+    def answer(
+        self, state: RequestState, event: AttemptFinished, now: Instant
+    ) -> None:
+        """Gives a whole answer to the caller."""
+        self.drop(state, now)
+        if state.claimed:
+            self.kernel.service('claims').finish(
+                state.request_id, Outcome.COMPLETE, event.answer, now
+            )
+        self.kernel.emit(Answer(state.request_id, event.attempt_id))
+
+    def refuse(
+        self, state: RequestState, refusal: Refusal, now: Instant
+    ) -> None:
+        """Ends a request with a refusal."""
+        self.drop(state, now)
+        if state.claimed:
+            self.kernel.service('claims').finish(
+                state.request_id, refusal.outcome, None, now
+            )
+        self.emit_refusal(
+            state.request_id, refusal, state.identity.organisation
+        )
+
+    def emit_refusal(
+        self,
+        request_id: RequestId,
+        refusal: Refusal,
+        organisation: OrganisationId | None = None,
+    ) -> None:
+        """Emits a refusal and the line about it."""
+        self.kernel.decide(
+            'refuse',
+            request=request_id,
+            organisation=organisation,
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+        )
+        self.kernel.emit(Refuse(request_id, refusal))
+
+    def drop(self, state: RequestState, now: Instant) -> None:
+        """Forgets a request that ends."""
+        self.states.pop(state.request_id, None)
+        if state.timer is not None:
+            self.kernel.cancel(state.timer)
+
+    def expire(self, state: RequestState, now: Instant) -> None:
+        """Ends a request whose deadline has passed."""
+        state.timer = None
+        self.abandon(state, now)
+        outcome = Outcome.NOT_RUN
+        if state.may_have_run:
+            outcome = Outcome.UNKNOWN
+        self.refuse(state, Refusal(outcome, Reason.DEADLINE), now)
+
+    def abandon(self, state: RequestState, now: Instant) -> None:
+        """Stops whatever a request is waiting for."""
+        if state.stage is Stage.RATE:
+            self.kernel.service('rates').cancel(state.request_id, now)
+        if state.stage is Stage.QUEUED:
+            self.kernel.service('admission').cancel(state.request_id, now)
+        if state.attempt is not None:
+            state.may_have_run = True
+            self.kernel.emit(CancelAttempt(state.attempt.attempt_id))
+            state.attempt = None
+
+    @on(CallerGone)
+    def caller_left(self, event: CallerGone, now: Instant) -> None:
+        """Cancels work that nobody waits for, if it may be repeated.
+
+        A call that may not be repeated goes on, so that its outcome is known
+        when the caller sends it again.
+        """
+        state = self.states.get(event.request_id)
+        if state is None:
+            return
+        state.caller_gone = True
+        if state.attempt is None or state.idempotent:
+            self.abandon(state, now)
+            outcome = Outcome.NOT_RUN
+            if state.may_have_run:
+                outcome = Outcome.UNKNOWN
+            self.refuse(state, Refusal(outcome, Reason.DEADLINE), now)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of teaselcove."""
