--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(VENV)/bin/flake8 $(SOURCES)
 
 format: venv
+	$(VENV)/bin/ruff format $(SOURCES)
 	$(VENV)/bin/ruff check --fix $(SOURCES)
 	$(VENV)/bin/ruff format $(SOURCES)
 
--- a/teaselcove/errors.py
+++ b/teaselcove/errors.py
@@ -125,3 +125,11 @@
 
 class CodecError(TeaselcoveError):
     """Bytes from a peer or the log are not a known message."""
+
+
+class StoreUnavailableError(TeaselcoveError):
+    """The log or the list did not answer; nothing took effect."""
+
+
+class AppendUnknownError(TeaselcoveError):
+    """The reply to an append was lost; the record may be in the log."""
--- a/teaselcove/events.py
+++ b/teaselcove/events.py
@@ -55,6 +55,8 @@
     """A host in the platform's list.
 
     Attributes:
+        incarnation: The process at that host, or 0 if the platform does not
+            know it; heartbeats carry it.
         address: IP address and port for callers.
         peer_address: IP address and port for other hosts.
     """
--- a/teaselcove/membership.py
+++ b/teaselcove/membership.py
@@ -1,13 +1,31 @@
 """Hosts of the fleet, from the platform's list and from heartbeats."""
 
+import msgspec
+
 from teaselcove.effects import ReadHosts
 from teaselcove.events import DrainRequested, HostEntry, HostsListed, HostState
-from teaselcove.ids import HostId, Incarnation, Instant
+from teaselcove.ids import HostId, Incarnation, Instant, Version
 from teaselcove.kernel import Kernel, on, services
+from teaselcove.messages import message
 
 INCARNATION_BITS = 63
 
 
+@message('heartbeat')
+class Heartbeat(msgspec.Struct, frozen=True):
+    """Sign of life of a host, with the configuration that it has.
+
+    Attributes:
+        counter: Rises with each heartbeat of an incarnation.
+        version: Version of the configuration in force at the sender.
+        digest: Digest of that configuration.
+    """
+
+    counter: int
+    version: Version
+    digest: int
+
+
 @services.register('membership')
 class Membership:
     """The hosts that this host knows.
@@ -50,6 +68,15 @@
         """Returns whether a listed host seems not to run."""
         return False
 
+    def hears_majority(self, now: Instant, limit: float) -> bool:
+        """Returns whether most listed hosts were heard of lately.
+
+        Args:
+            now: Present time.
+            limit: Seconds that count as lately.
+        """
+        return True
+
     def usable_hosts(self, now: Instant) -> list[HostEntry]:
         """Returns the live hosts that are not suspected, by host id."""
         return [
