--- a/standins/platform.py
+++ b/standins/platform.py
@@ -110,27 +110,27 @@
         stream.first_offset = first
         return answer({'first_offset': first})
 
-    async def set_fault(self, request: Request) -> Response:
+    async def change_fault(self, request: Request) -> Response:
         """Sets what is wrong with the service."""
         self.fault = msgspec.json.decode(await request.body(), type=Fault)
         return answer(self.fault)
 
-    async def get_hosts(self, request: Request) -> Response:
+    async def list_hosts(self, request: Request) -> Response:
         """Returns the list of hosts."""
         return await self.wait_for_fault() or answer(self.hosts)
 
-    async def put_hosts(self, request: Request) -> Response:
+    async def replace_hosts(self, request: Request) -> Response:
         """Replaces the list of hosts."""
         self.hosts = msgspec.json.decode(
             await request.body(), type=list[HostEntry]
         )
         return answer(self.hosts)
 
-    async def get_endpoints(self, request: Request) -> Response:
+    async def list_endpoints(self, request: Request) -> Response:
         """Returns the list of backend servers."""
         return await self.wait_for_fault() or answer(self.endpoints)
 
-    async def put_endpoints(self, request: Request) -> Response:
+    async def replace_endpoints(self, request: Request) -> Response:
         """Replaces the list of backend servers."""
         self.endpoints = msgspec.json.decode(
             await request.body(), type=list[EndpointEntry]
@@ -144,11 +144,11 @@
                 Route('/streams/{name}', self.append, methods=['POST']),
                 Route('/streams/{name}', self.read, methods=['GET']),
                 Route('/streams/{name}', self.truncate, methods=['DELETE']),
-                Route('/fault', self.set_fault, methods=['PUT']),
-                Route('/hosts', self.get_hosts, methods=['GET']),
-                Route('/hosts', self.put_hosts, methods=['PUT']),
-                Route('/endpoints', self.get_endpoints, methods=['GET']),
-                Route('/endpoints', self.put_endpoints, methods=['PUT']),
+                Route('/fault', self.change_fault, methods=['PUT']),
+                Route('/hosts', self.list_hosts, methods=['GET']),
+                Route('/hosts', self.replace_hosts, methods=['PUT']),
+                Route('/endpoints', self.list_endpoints, methods=['GET']),
+                Route('/endpoints', self.replace_endpoints, methods=['PUT']),
             ]
         )
 
