Add the host process: HTTP front, backend client, transport, read-out

uvicorn and starlette serve callers, aiohttp runs attempts, pyzmq carries the messages between hosts, encrypted by CURVE when the fleet has a secret. The driver connects the decision core with the event loop. Calls that may not be repeated use a new connection, because a kept one may break just as the request is written. Nothing has run end to end yet.

--- a/teaselcove/configuration.py
+++ b/teaselcove/configuration.py
@@ -125,14 +125,10 @@
         """Returns a key, or None."""
         return self.keys.get(name)
 
-    def server_address(
-        self, service: ServiceId, server: BackendServerId
-    ) -> str | None:
+    def server_address(self, server: BackendServerId) -> str | None:
         """Returns the address of a backend server, or None."""
-        declared = self.services.get(service)
-        if declared is None:
-            return None
-        for candidate in declared.servers:
-            if candidate.id == server:
-                return candidate.address
+        for service in self.services.values():
+            for candidate in service.servers:
+                if candidate.id == server:
+                    return candidate.address
         return None
--- /dev/null
+++ b/teaselcove/daemon.py
@@ -0,0 +1,202 @@
+"""The host process: sockets, signals and the life of a host."""
+
+import asyncio
+import contextlib
+import logging
+import secrets
+import signal
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import uvicorn
+
+from teaselcove import effects as fx
+from teaselcove import events as ev
+from teaselcove import logs
+from teaselcove import settings as host_settings
+from teaselcove.driver import Driver
+from teaselcove.frontend import Frontend
+from teaselcove.ids import OrganisationId
+from teaselcove.platform import PlatformPort
+from teaselcove.readout import Readout
+from teaselcove.server import application
+from teaselcove.settings import HostSettings
+from teaselcove.transport import Transport
+
+log = logging.getLogger(__name__)
+decision_log = logging.getLogger('teaselcove.decisions')
+
+# Time between leaving the answers and closing the listener, in which callers
+# with an older answer still find the host.
+DRAIN_GRACE_S = 1
+LISTEN_BACKLOG = 512
+KEEPALIVE_S = 75
+SEED_BITS = 64
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Installs no signal handlers."""
+        yield
+
+
+class Daemon:
+    """Runs one host.
+
+    Attributes:
+        draining: Whether replies ask callers to close their connection.
+    """
+
+    def __init__(self, settings: HostSettings, seed: int) -> None:
+        self.settings = settings
+        self.driver = Driver(settings, seed)
+        self.readout = Readout()
+        self.frontend = Frontend(self.driver, settings, self.readout)
+        membership = self.driver.kernel.service('membership')
+        self.transport = Transport(
+            settings, membership.incarnation, self.driver.feed
+        )
+        self.draining = False
+        self.exiting = asyncio.Event()
+        self.driver.carriers.update(
+            {
+                fx.Send: self.send,
+                fx.LogDecision: self.log_decision,
+                fx.Exit: self.exit,
+            }
+        )
+
+    def send(self, effect: fx.Send) -> None:
+        """Sends a message to a host."""
+        self.transport.send(effect.host, effect.message)
+
+    def log_decision(self, effect: fx.LogDecision) -> None:
+        """Writes the line of a decision."""
+        self.readout.decisions[effect.kind] += 1
+        if decision_log.isEnabledFor(logging.INFO):
+            decision_log.info(effect.kind, extra={'figures': effect.figures})
+
+    def exit(self, effect: fx.Exit) -> None:
+        """Lets the process end once the listener is closed."""
+        self.exiting.set()
+
+    def hosts_for(self, organisation: OrganisationId) -> Any:
+        """Returns which hosts the callers of an organisation should use."""
+        placement = self.driver.kernel.service('placement')
+        answer = placement.hosts_for(organisation, self.driver.now())
+        self.driver.carry_out(self.driver.kernel.take_effects())
+        return answer
+
+    def status(self) -> dict[str, Any]:
+        """Returns the host's version of the configuration and its age."""
+        configuration = self.driver.kernel.service('configuration')
+        membership = self.driver.kernel.service('membership')
+        last_read = configuration.last_log_read
+        now = self.driver.now()
+        return {
+            'host': self.settings.host,
+            'zone': self.settings.zone,
+            'incarnation': str(membership.incarnation),
+            'version': configuration.version,
+            'digest': f'{getattr(configuration, "digest", 0):x}',
+            'may_serve': configuration.may_serve(now),
+            'log_read_age': None if last_read is None else now - last_read,
+            'hosts': len(membership.hosts),
+            'usable_hosts': [
+                entry.host for entry in membership.usable_hosts(now)
+            ],
+            'draining': self.draining,
+        }
+
+    def metrics(self) -> dict[str, Any]:
+        """Returns counters and latency histograms."""
+        return self.readout.snapshot(
+            host=self.settings.host,
+            pending=len(self.frontend.pending),
+            transport=self.transport.counters,
+        )
+
+    async def run(self) -> None:
+        """Serves until the core asks to exit."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.start_drain)
+        listener = self.bind()
+        self.transport.bind()
+        async with aiohttp.ClientSession() as session:
+            PlatformPort(self.driver, self.transport, self.settings, session)
+            receiver = loop.create_task(self.transport.run())
+            self.driver.start()
+            self.http = HttpServer(self.http_config())
+            log.info('host %s is starting', self.settings.host)
+            await self.http.serve(sockets=[listener])
+            await self.exiting.wait()
+            receiver.cancel()
+            await self.close()
+
+    def bind(self) -> socket.socket:
+        """Returns the socket for callers."""
+        listener = socket.create_server(
+            (self.settings.address, self.settings.port),
+            backlog=LISTEN_BACKLOG,
+        )
+        listener.setblocking(False)
+        return listener
+
+    def http_config(self) -> uvicorn.Config:
+        """Returns the settings of the HTTP server."""
+        return uvicorn.Config(
+            application(self),
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            lifespan='off',
+            http='httptools',
+            loop='asyncio',
+            timeout_keep_alive=KEEPALIVE_S,
+            timeout_graceful_shutdown=int(self.settings.drain_limit),
+        )
+
+    def start_drain(self) -> None:
+        """Leaves the fleet in good order."""
+        if self.draining:
+            return
+        log.info('host %s is draining', self.settings.host)
+        self.draining = True
+        self.driver.feed(ev.DrainRequested())
+        loop = asyncio.get_running_loop()
+        loop.call_later(DRAIN_GRACE_S, self.stop_listening)
+        loop.call_later(self.settings.drain_limit, self.exiting.set)
+
+    def stop_listening(self) -> None:
+        """Closes the listener; requests in flight go on."""
+        self.http.should_exit = True
+
+    async def close(self) -> None:
+        """Closes what is still open."""
+        self.driver.stop()
+        await self.frontend.backends.close()
+        self.transport.close()
+        log.info('host %s has stopped', self.settings.host)
+
+
+def serve(path: Path) -> None:
+    """Runs a host until it has drained.
+
+    Raises:
+        FieldError: If the settings are not valid.
+    """
+    settings = host_settings.load(path)
+    logs.set_up(settings.log)
+    asyncio.run(run(settings))
+
+
+async def run(settings: HostSettings) -> None:
+    """Runs a host with a seed that differs for each start."""
+    await Daemon(settings, secrets.randbits(SEED_BITS)).run()
--- /dev/null
+++ b/teaselcove/driver.py
@@ -0,0 +1,72 @@
+"""Drives the decision core with the time and sockets of the event loop."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from teaselcove import effects as fx
+from teaselcove import events as ev
+from teaselcove.core import Kernel
+from teaselcove.ids import Instant
+from teaselcove.settings import HostSettings
+
+Carrier = Callable[[Any], None]
+
+
+class Driver:
+    """Gives events to the core and its effects to their carriers.
+
+    Attributes:
+        carriers: Functions that carry out effects, by type of effect.
+        tasks: Running tasks, kept so that they are not collected.
+    """
+
+    def __init__(self, settings: HostSettings, seed: int) -> None:
+        self.kernel = Kernel(settings, seed)
+        self.carriers: dict[type, Carrier] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.timer: asyncio.TimerHandle | None = None
+
+    def now(self) -> Instant:
+        """Returns the present monotonic time in seconds."""
+        return Instant(asyncio.get_running_loop().time())
+
+    def start(self) -> None:
+        """Starts the services of the core."""
+        self.carry_out(self.kernel.start(self.now()))
+
+    def feed(self, event: Any) -> None:
+        """Gives an event to the core and carries out the effects."""
+        self.carry_out(self.kernel.handle(event, self.now()))
+
+    def carry_out(self, emitted: list[fx.Effect]) -> None:
+        """Carries out effects in order, then starts the timer."""
+        for effect in emitted:
+            self.carriers[type(effect)](effect)
+        self.start_timer()
+
+    def start_timer(self) -> None:
+        """Wakes the core at its next deadline."""
+        self.stop_timer()
+        deadline = self.kernel.next_deadline()
+        if deadline is not None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_at(deadline, self.feed, ev.TimerDue())
+
+    def stop_timer(self) -> None:
+        """Cancels the timer."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Runs a coroutine and keeps its task until it ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def stop(self) -> None:
+        """Cancels the timer and all tasks."""
+        self.stop_timer()
+        for task in tuple(self.tasks):
+            task.cancel()
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -252,6 +252,9 @@
                 server.address,
                 state.identity.organisation,
                 state.deadline - now,
+                # A kept connection may break just as the request is written;
+                # then nobody knows whether the call ran.
+                new_connection=not state.idempotent,
                 echo_request_id=service.echo_request_id,
             )
         )
--- /dev/null
+++ b/teaselcove/transport.py
@@ -0,0 +1,196 @@
+"""Messages between hosts over pyzmq.
+
+Each host binds one PULL socket and connects one PUSH socket to each peer.
+With a fleet secret in the settings all links are encrypted by CURVE; a
+process that does not know the secret can neither read nor send.
+"""
+
+import hashlib
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import zmq
+import zmq.asyncio
+from zmq.utils import z85
+
+from teaselcove import messages
+from teaselcove.errors import CodecError
+from teaselcove.events import HostsListed, PeerMessageReceived
+from teaselcove.ids import HostId, Incarnation
+from teaselcove.settings import HostSettings
+
+log = logging.getLogger(__name__)
+
+HIGH_WATER_MARK = 1000
+HEARTBEAT_INTERVAL_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+RECONNECT_MAX_MS = 2000
+
+
+class TransportCounters(msgspec.Struct):
+    """Messages and bytes since the start."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+    malformed: int = 0
+
+
+class CurveKeys:
+    """The key pair that all hosts of a fleet derive from their secret."""
+
+    def __init__(self, secret: str) -> None:
+        self.private = z85.encode(hashlib.sha256(secret.encode()).digest())
+        self.public = zmq.curve_public(self.private)
+
+    def protect_server(self, socket: zmq.Socket) -> None:
+        """Makes a bound socket accept only peers with the secret."""
+        socket.curve_server = True
+        socket.curve_secretkey = self.private
+
+    def protect_client(self, socket: zmq.Socket) -> None:
+        """Makes a connecting socket use the secret."""
+        socket.curve_serverkey = self.public
+        socket.curve_publickey = self.public
+        socket.curve_secretkey = self.private
+
+
+class Transport:
+    """Sends and receives messages; losing some is allowed.
+
+    Attributes:
+        addresses: Peer addresses by host, from the platform's list.
+        receive: Called with each message that arrives.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        incarnation: Incarnation,
+        receive: Callable[[PeerMessageReceived], None],
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.receive = receive
+        self.counters = TransportCounters()
+        self.context = zmq.asyncio.Context()
+        self.sync_context = zmq.Context(self.context)
+        self.addresses: dict[HostId, str] = {}
+        self.links: dict[HostId, zmq.Socket] = {}
+        secret = settings.peer_secret
+        self.curve = CurveKeys(secret) if secret else None
+        self.inbound = self.context.socket(zmq.PULL)
+
+    def bind(self) -> None:
+        """Binds the socket for messages from other hosts."""
+        self.set_options(self.inbound)
+        self.inbound.maxmsgsize = messages.MAX_MESSAGE_BYTES
+        if self.curve:
+            self.curve.protect_server(self.inbound)
+        address = self.settings.address
+        self.inbound.bind(f'tcp://{address}:{self.settings.peer_port}')
+
+    def set_options(self, socket: zmq.Socket) -> None:
+        """Sets what all sockets share.
+
+        The heartbeats find connections that went silent, which then are
+        opened again.
+        """
+        socket.linger = 0
+        socket.sndhwm = HIGH_WATER_MARK
+        socket.rcvhwm = HIGH_WATER_MARK
+        socket.heartbeat_ivl = HEARTBEAT_INTERVAL_MS
+        socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        socket.reconnect_ivl_max = RECONNECT_MAX_MS
+
+    async def run(self) -> None:
+        """Receives messages until cancelled."""
+        while True:
+            payload = await self.inbound.recv()
+            self.counters.received += 1
+            self.counters.received_bytes += len(payload)
+            try:
+                event = self.decode(payload)
+            except CodecError as error:
+                self.counters.malformed += 1
+                log.warning('dropped a malformed message: %s', error)
+                continue
+            if event is not None:
+                self.receive(event)
+
+    def decode(self, payload: bytes) -> PeerMessageReceived | None:
+        """Returns the event of a payload, or None if it is not for us."""
+        envelope = messages.decode_envelope(payload)
+        if envelope.recipient != self.settings.host:
+            return None
+        return PeerMessageReceived(
+            envelope.sender,
+            envelope.incarnation,
+            messages.decode(envelope.body),
+        )
+
+    def update_hosts(self, listed: HostsListed) -> None:
+        """Takes over peer addresses; closes links to hosts that left."""
+        self.addresses = {
+            entry.host: entry.peer_address for entry in listed.hosts
+        }
+        for host in tuple(self.links):
+            socket = self.links[host]
+            if socket.last_address != self.addresses.get(host):
+                self.links.pop(host).close()
+
+    def link(self, host: HostId) -> zmq.Socket | None:
+        """Returns the socket to a host, or None if it is not listed."""
+        socket = self.links.get(host)
+        address = self.addresses.get(host)
+        if socket is None and address is not None:
+            socket = LinkSocket(self.sync_context, zmq.PUSH)
+            self.set_options(socket)
+            # A message to a peer that is away is lost, not kept: it would
+            # arrive late in bulk when the peer comes back.
+            socket.immediate = True
+            if self.curve:
+                self.curve.protect_client(socket)
+            socket.connect(f'tcp://{address}')
+            socket.last_address = address
+            self.links[host] = socket
+        return socket
+
+    def send(self, host: HostId, body: Any) -> None:
+        """Sends a message, or drops it if the link cannot take it."""
+        socket = self.link(host)
+        if socket is None:
+            self.counters.dropped += 1
+            return
+        payload = messages.encode_envelope(
+            messages.Envelope(
+                self.settings.host,
+                self.incarnation,
+                host,
+                messages.encode(body),
+            )
+        )
+        try:
+            socket.send(payload, flags=zmq.NOBLOCK)
+        except zmq.Again:
+            self.counters.dropped += 1
+            return
+        self.counters.sent += 1
+        self.counters.sent_bytes += len(payload)
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        for socket in self.links.values():
+            socket.close()
+        self.inbound.close()
+        self.context.term()
+
+
+class LinkSocket(zmq.Socket):
+    """A PUSH socket that remembers the address it is connected to."""
+
+    last_address = ''
