Serve a request end to end with separate processes

Adds the stand-in of a backend server, the start of deployments on loopback addresses, and the first test with real sockets: two hosts, two backend servers, the platform's stand-in.

--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,170 @@
+"""Stand-in for a backend server, with faults that are set while it runs.
+
+Run as `python -m standins.backend ADDRESS PORT SERVER_ID`. `PUT /fault` takes
+a body of `Fault`, `GET /report` shows what ran here.
+"""
+
+import asyncio
+import os
+import random
+from collections import Counter
+
+import fire
+import msgspec
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from teaselcove.proxy import (
+    ORGANISATION_HEADER,
+    REQUEST_ID_HEADER,
+    SHED_HEADER,
+    SHED_STATUS,
+)
+
+SLOTS = 3
+QUEUE = 3
+SERVICE_TIME_S = 0.01
+KEY_MARK = 'tc_'
+CRASH_MARK = b'crash'
+CRASH_EXIT_CODE = 70
+ERROR_STATUS = 500
+CALL_HEADER = 'x-call-id'
+METHODS = ('GET', 'POST', 'PUT', 'DELETE')
+
+
+class Fault(msgspec.Struct):
+    """What is wrong with the server.
+
+    Attributes:
+        stall: Work never ends, health checks succeed.
+        slow_factor: Factor on the service time.
+        error_share: Share of calls that end with status 500.
+        truncate_share: Share of answers that are cut short.
+        wrong_id: Answers state the id of another request.
+        leaving: The server drains.
+    """
+
+    stall: bool = False
+    slow_factor: float = 1
+    error_share: float = 0
+    truncate_share: float = 0
+    wrong_id: bool = False
+    leaving: bool = False
+
+
+class Backend:
+    """State of the server and its HTTP handlers.
+
+    Attributes:
+        runs: How often each call of a caller ran, by the caller's call id.
+        keys_seen: Requests that carried a caller's key.
+    """
+
+    def __init__(self, server: str) -> None:
+        self.server = server
+        self.fault = Fault()
+        self.running = 0
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.runs: Counter[str] = Counter()
+        self.organisations: Counter[str] = Counter()
+        self.keys_seen = 0
+        self.shed = 0
+        self.random = random.Random(server)
+
+    async def call(self, request: Request) -> Response:
+        """Runs a call in a free slot, or sheds it."""
+        body = await request.body()
+        if self.running >= SLOTS + QUEUE:
+            self.shed += 1
+            return Response(status_code=SHED_STATUS, headers={SHED_HEADER: '1'})
+        self.running += 1
+        try:
+            async with self.slots:
+                return await self.run(request, body)
+        finally:
+            self.running -= 1
+
+    async def run(self, request: Request, body: bytes) -> Response:
+        """Runs a call: this is what may happen at most once."""
+        if CRASH_MARK in body:
+            os._exit(CRASH_EXIT_CODE)
+        values = ' '.join(request.headers.values())
+        self.keys_seen += KEY_MARK in values
+        self.organisations[request.headers.get(ORGANISATION_HEADER, '')] += 1
+        call = request.headers.get(CALL_HEADER)
+        if call:
+            self.runs[call] += 1
+        mean = SERVICE_TIME_S * self.fault.slow_factor
+        await asyncio.sleep(self.random.expovariate(1 / mean))
+        while self.fault.stall:
+            await asyncio.sleep(SERVICE_TIME_S)
+        return self.answer(request, call)
+
+    def answer(self, request: Request, call: str | None) -> Response:
+        """Returns the answer, or what the fault makes of it."""
+        body = msgspec.json.encode(
+            {'server': self.server, 'path': request.url.path, 'call': call}
+        )
+        request_id = request.headers.get(REQUEST_ID_HEADER, '')
+        headers = {
+            'content-type': 'application/json',
+            'content-length': str(len(body)),
+            REQUEST_ID_HEADER: 'other' if self.fault.wrong_id else request_id,
+        }
+        if self.random.random() < self.fault.truncate_share:
+            body = body[: len(body) // 2]
+        if self.fault.leaving:
+            headers['teaselcove-leaving'] = '1'
+        failed = self.random.random() < self.fault.error_share
+        status = ERROR_STATUS if failed else 200
+        response = Response(status_code=status, headers=headers)
+        response.body = body
+        return response
+
+    async def change_fault(self, request: Request) -> Response:
+        """Changes what is wrong with the server."""
+        self.fault = msgspec.json.decode(await request.body(), type=Fault)
+        return Response(status_code=204)
+
+    async def health(self, request: Request) -> Response:
+        """Claims to be well, whatever the fault."""
+        return Response(b'ok')
+
+    async def report(self, request: Request) -> Response:
+        """Shows what ran here."""
+        figures = {
+            'server': self.server,
+            'runs': self.runs,
+            'organisations': self.organisations,
+            'keys_seen': self.keys_seen,
+            'shed': self.shed,
+        }
+        return Response(msgspec.json.encode(figures))
+
+    def application(self) -> Starlette:
+        """Returns the HTTP application."""
+        return Starlette(
+            routes=[
+                Route('/fault', self.change_fault, methods=['PUT']),
+                Route('/health', self.health),
+                Route('/report', self.report),
+                Route('/{path:path}', self.call, methods=METHODS),
+            ]
+        )
+
+
+def main(address: str, port: int, server: str) -> None:
+    """Serves until the process is ended."""
+    uvicorn.run(
+        Backend(server).application(),
+        host=address,
+        port=port,
+        log_level='error',
+    )
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,272 @@
+"""A deployment of real processes on loopback addresses."""
+
+import http.client
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from standins.processes import Processes, free_port, wait_until_listening
+from teaselcove import keys
+from teaselcove.configuration import STREAM, ApplyRecord
+from teaselcove.entities import (
+    Call,
+    Entities,
+    Key,
+    Organisation,
+    Route,
+    Server,
+    Service,
+)
+from teaselcove.events import EndpointEntry, HostEntry, HostState
+from teaselcove.settings import HostSettings, LogSettings
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+PLATFORM_ADDRESS = '127.30.0.1'
+HTTP_TIMEOUT_S = 5
+OK_STATUS = 200
+READY_TIMEOUT_S = 20
+POLL_S = 0.1
+PEER_SECRET = 'a secret of the demo'  # noqa: S105
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """Sizes of a deployment.
+
+    Attributes:
+        network: Third number of the loopback addresses, so that several
+            deployments can run on one machine.
+        services: Number of backend servers of each service.
+        organisations: Rate and burst of each organisation.
+    """
+
+    hosts: int
+    services: dict[str, int]
+    organisations: dict[str, tuple[float, int]]
+    network: int = 1
+    timeout_ms: int = 2000
+    host_options: dict[str, Any] = {}
+
+
+def http_call(
+    method: str,
+    address: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, dict[str, str], bytes]:
+    """Returns status, headers and body of one HTTP exchange."""
+    connection = http.client.HTTPConnection(address, timeout=HTTP_TIMEOUT_S)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        names = {name.lower(): text for name, text in response.getheaders()}
+        return response.status, names, response.read()
+    finally:
+        connection.close()
+
+
+def get_json(address: str, path: str) -> Any:
+    """Returns the data of a JSON answer."""
+    return json.loads(http_call('GET', address, path)[2])
+
+
+def put_json(address: str, path: str, body: Any) -> None:
+    """Sends data as JSON."""
+    http_call('PUT', address, path, msgspec.json.encode(body))
+
+
+class Deployment:
+    """Platform, backend servers and hosts as processes.
+
+    Attributes:
+        platform: Address of the platform's stand-in.
+        hosts: Entries of the host list by host id.
+        servers: Backend servers by id.
+        key_texts: The key of each organisation.
+    """
+
+    def __init__(self, shape: Shape, directory: Path) -> None:
+        self.shape = shape
+        self.processes = Processes(directory)
+        self.platform = ''
+        self.hosts: dict[str, HostEntry] = {}
+        self.settings: dict[str, HostSettings] = {}
+        self.servers: dict[str, Server] = {}
+        self.endpoints: dict[str, HostState] = {}
+        self.key_texts: dict[str, str] = {}
+        self.keys: dict[str, Key] = {}
+        self.version = 0
+
+    def start(self) -> None:
+        """Starts all processes and waits until the hosts serve."""
+        self.start_platform()
+        for service, count in self.shape.services.items():
+            for number in range(count):
+                self.start_server(service, number)
+        self.apply(self.entities())
+        for number in range(self.shape.hosts):
+            self.prepare_host(number)
+        self.publish_lists()
+        for name in self.hosts:
+            self.processes.start_host(self.settings[name])
+        self.wait_until_ready()
+
+    def start_platform(self) -> None:
+        """Starts the log service and the lists."""
+        port = free_port(PLATFORM_ADDRESS)
+        self.platform = f'{PLATFORM_ADDRESS}:{port}'
+        self.processes.start(
+            'platform', 'standins.platform', PLATFORM_ADDRESS, str(port)
+        )
+        wait_until_listening(PLATFORM_ADDRESS, port)
+
+    def start_server(self, service: str, number: int) -> None:
+        """Starts a backend server."""
+        name = f'{service}-{number}'
+        address = f'127.31.{self.shape.network}.{len(self.servers) + 1}'
+        port = free_port(address)
+        zone = ZONES[number % len(ZONES)]
+        self.servers[name] = Server(name, f'{address}:{port}', zone)
+        self.endpoints[name] = HostState.LIVE
+        self.processes.start(name, 'standins.backend', address, str(port), name)
+        wait_until_listening(address, port)
+
+    def restart_server(self, name: str) -> None:
+        """Starts a backend server again at its address."""
+        address, port = self.servers[name].address.split(':')
+        self.processes.start(name, 'standins.backend', address, port, name)
+
+    def entities(self) -> Entities:
+        """Returns the first configuration."""
+        organisations = []
+        for name, (rate, burst) in self.shape.organisations.items():
+            organisations.append(Organisation(name, rate, burst))
+            key, text = keys.issue(name)
+            self.keys[name] = key
+            self.key_texts[name] = text
+        services = []
+        routes = []
+        for name, count in self.shape.services.items():
+            servers = tuple(
+                server
+                for server in self.servers.values()
+                if server.id.startswith(f'{name}-')
+            )
+            services.append(Service(name, count // 2, servers, True))
+            calls = (Call('GET', idempotent=True),)
+            timeout_ms = self.shape.timeout_ms
+            routes.append(
+                Route(name, f'/{name}', name, False, (), timeout_ms, calls)
+            )
+        return Entities(
+            tuple(organisations),
+            tuple(self.keys.values()),
+            tuple(services),
+            tuple(routes),
+        )
+
+    def apply(self, put: Entities, **removed: Any) -> None:
+        """Appends a change of the configuration to the log."""
+        record = ApplyRecord(f'demo-{self.version}', self.version, put)
+        if removed:
+            record = msgspec.structs.replace(
+                record, removed=type(record.removed)(**removed)
+            )
+        http_call(
+            'POST',
+            self.platform,
+            f'/streams/{STREAM}',
+            msgspec.json.encode(record),
+        )
+        self.version += 1
+
+    def prepare_host(self, number: int) -> None:
+        """Chooses addresses and settings of a host."""
+        name = f'host-{number}'
+        address = f'127.32.{self.shape.network}.{number + 1}'
+        settings = HostSettings(
+            name,
+            ZONES[number % len(ZONES)],
+            address,
+            free_port(address),
+            free_port(address),
+            f'http://{self.platform}',
+            f'http://{self.platform}',
+            peer_secret=PEER_SECRET,
+            log=LogSettings(format='text'),
+        )
+        options = self.shape.host_options
+        settings = msgspec.structs.replace(settings, **options)
+        self.settings[name] = settings
+        self.hosts[name] = HostEntry(
+            name,
+            0,
+            settings.zone,
+            f'{address}:{settings.port}',
+            f'{address}:{settings.peer_port}',
+        )
+
+    def publish_lists(self) -> None:
+        """Sends the lists to the platform's stand-in."""
+        put_json(self.platform, '/hosts', list(self.hosts.values()))
+        endpoints = [
+            EndpointEntry(name, state) for name, state in self.endpoints.items()
+        ]
+        put_json(self.platform, '/endpoints', endpoints)
+
+    def wait_until_ready(self) -> None:
+        """Waits until all hosts have the configuration and grant tokens."""
+        for entry in self.hosts.values():
+            wait_until_listening(*split_address(entry.address))
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if all(self.is_ready(name) for name in self.hosts):
+                if self.is_admitted():
+                    return
+            time.sleep(POLL_S)
+        raise TimeoutError('the hosts do not become ready')
+
+    def is_ready(self, name: str) -> bool:
+        """Returns whether a host has the newest configuration."""
+        status = get_json(self.hosts[name].address, '/teaselcove/status')
+        return status['version'] == self.version and status['may_serve']
+
+    def is_admitted(self) -> bool:
+        """Returns whether each organisation gets an answer at each host.
+
+        The token buckets of the rates start empty.
+        """
+        path = f'/{next(iter(self.shape.services))}/ready'
+        return all(
+            self.call(host, organisation, 'GET', path)[0] == OK_STATUS
+            for host in self.hosts
+            for organisation in self.key_texts
+        )
+
+    def call(
+        self, host: str, organisation: str, method: str, path: str, **more: Any
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Sends one request of an organisation to a host."""
+        headers = {
+            'authorization': f'Bearer {self.key_texts[organisation]}',
+            **more.pop('headers', {}),
+        }
+        address = self.hosts[host].address
+        return http_call(method, address, path, headers=headers, **more)
+
+    def report(self, server: str) -> Any:
+        """Returns what ran at a backend server."""
+        return get_json(self.servers[server].address, '/report')
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        self.processes.stop_all()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns IP address and port."""
+    host, port = address.rsplit(':', 1)
+    return host, int(port)
