--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -21,7 +21,7 @@
     Service,
 )
 from teaselcove.events import EndpointEntry, HostEntry, HostState
-from teaselcove.settings import HostSettings, LogSettings
+from teaselcove.settings import HostSettings
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 PLATFORM_ADDRESS = '127.30.0.1'
@@ -196,7 +196,6 @@
             f'http://{self.platform}',
             f'http://{self.platform}',
             peer_secret=PEER_SECRET,
-            log=LogSettings(format='text'),
         )
         options = self.shape.host_options
         settings = msgspec.structs.replace(settings, **options)
