Read the configuration directory and apply it through the log

Operators declare entities in files that are applied as a whole. Errors name file, line and field. Hosts and commands fold the log with the same function; the first record on the matching base wins, and an apply reports acceptance only after it has read its record back as the winner. Entities are packed as rows in tables, from which the digest is computed.

--- /dev/null
+++ b/teaselcove/commands/changes.py
@@ -0,0 +1,152 @@
+"""Commands that check, show and apply the configuration of a directory."""
+
+import asyncio
+import getpass
+import uuid
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import aiohttp
+
+from teaselcove import documents
+from teaselcove.commands import history
+from teaselcove.commands.output import ExitCode, stop
+from teaselcove.commands.submission import Submission, Verdict, submit
+from teaselcove.entities import Entities
+from teaselcove.errors import StoreUnavailableError
+from teaselcove.fold import State, digest_of
+from teaselcove.ids import ApplyId
+from teaselcove.plan import Difference, difference
+from teaselcove.store import LogClient
+
+ResultT = TypeVar('ResultT')
+
+
+def read_directory(directory: str) -> Entities:
+    """Reads a directory, or ends the command with its errors."""
+    try:
+        return documents.read(Path(str(directory)))
+    except documents.DocumentsError as error:
+        count = len(error.errors)
+        stop(ExitCode.INVALID, f'{error}\n{count} errors; nothing was applied')
+
+
+def run(work: Coroutine[Any, Any, ResultT]) -> ResultT:
+    """Runs a coroutine that uses the log, or ends the command."""
+    try:
+        return asyncio.run(work)
+    except StoreUnavailableError as error:
+        stop(
+            ExitCode.UNAVAILABLE,
+            f'the log does not answer ({error}); nothing was applied',
+        )
+    except history.HistoryLostError as error:
+        stop(ExitCode.UNAVAILABLE, f'{error}; nothing was applied')
+
+
+def validate(directory: str) -> None:
+    """Checks the files of a directory.
+
+    Args:
+        directory: Directory with *.jsonc files.
+    """
+    entities = read_directory(directory)
+    print(
+        f'valid: {len(entities.organisations)} organisations, '
+        f'{len(entities.keys)} keys, {len(entities.services)} services, '
+        f'{len(entities.routes)} routes, digest {digest_of(entities):016x}'
+    )
+
+
+def plan(directory: str, log_url: str) -> None:
+    """Shows what `apply` would change.
+
+    Args:
+        directory: Directory with *.jsonc files.
+        log_url: Base URL of the log service.
+    """
+    entities = read_directory(directory)
+    state = run(load(log_url))
+    show_difference(state, difference(state.tables.entities(), entities))
+
+
+def apply(directory: str, log_url: str, operator: str = '') -> None:
+    """Applies the configuration of a directory as a whole.
+
+    Args:
+        directory: Directory with *.jsonc files.
+        log_url: Base URL of the log service.
+        operator: Name that other operators see; the login name by default.
+    """
+    run(change_to(read_directory(directory), log_url, operator))
+
+
+async def load(log_url: str) -> State:
+    """Returns the configuration that the log holds."""
+    async with aiohttp.ClientSession() as session:
+        return await history.load(LogClient(log_url, session))
+
+
+async def change_to(wanted: Entities, log_url: str, operator: str) -> None:
+    """Makes a configuration the one in force, and prints the result."""
+    async with aiohttp.ClientSession() as session:
+        client = LogClient(log_url, session)
+        state = await history.load(client)
+        change = difference(state.tables.entities(), wanted)
+        show_difference(state, change)
+        if change.is_empty:
+            return
+        apply_id = ApplyId(uuid.uuid4().hex)
+        name = str(operator) or getpass.getuser()
+        submission = await submit(client, state, change, apply_id, name)
+    report(submission, apply_id)
+
+
+def show_difference(state: State, change: Difference) -> None:
+    """Prints a difference to the configuration in force."""
+    for line in change.lines:
+        print(line)
+    if not change.is_empty:
+        print(f'{len(change.lines)} changes to version {state.version}')
+        return
+    latest = state.winner_of(state.version)
+    by = f', apply {latest.apply_id} by {latest.operator}' if latest else ''
+    print(f'nothing to change: version {state.version} is in force{by}')
+
+
+def report(submission: Submission, apply_id: ApplyId) -> None:
+    """Prints what became of a change; ends the command if it failed."""
+    winner = submission.winner
+    who = ''
+    if winner is not None:
+        who = f'apply {winner.apply_id} by {winner.operator or "unknown"}'
+    match submission.verdict:
+        case Verdict.ACCEPTED:
+            print(f'accepted: version {winner.version}, {who}')
+        case Verdict.ALREADY:
+            print(f'already in force: {who} made the same change')
+        case Verdict.LOST:
+            stop(
+                ExitCode.LOST,
+                f'lost: {who} changed the same base first; nothing was '
+                'applied, run plan to see the difference',
+            )
+        case Verdict.REJECTED:
+            stop(
+                ExitCode.INVALID,
+                f'rejected: hosts skip the record of apply {apply_id}; '
+                'nothing was applied',
+            )
+        case Verdict.UNAVAILABLE:
+            stop(
+                ExitCode.UNAVAILABLE,
+                f'the log does not answer ({submission.problem}); nothing '
+                'was applied',
+            )
+        case Verdict.UNKNOWN:
+            stop(
+                ExitCode.UNKNOWN,
+                f'unknown: apply {apply_id} may or may not take effect '
+                f'({submission.problem}); run apply again to find out',
+            )
--- /dev/null
+++ b/teaselcove/commands/submission.py
@@ -0,0 +1,110 @@
+"""Submission of one change to the log and the truth about its result."""
+
+import asyncio
+from enum import Enum
+
+import msgspec
+
+from teaselcove.commands.history import catch_up
+from teaselcove.errors import AppendUnknownError, StoreUnavailableError
+from teaselcove.fold import State
+from teaselcove.ids import ApplyId
+from teaselcove.plan import Difference
+from teaselcove.records import STREAM, ApplyRecord, Winner, encode_record
+from teaselcove.store import LogClient
+
+# An append whose reply was lost may take effect a little later; reading back
+# goes on for at least as long as the log client waits for a reply.
+READ_BACK_TRIES = 6
+READ_BACK_INTERVAL_S = 0.5
+
+
+class Verdict(Enum):
+    """What became of a submitted change.
+
+    ALREADY means that the configuration in force equals the wanted one,
+    through another change. REJECTED means that hosts skip the record.
+    UNAVAILABLE means that nothing was appended.
+    """
+
+    ACCEPTED = 'accepted'
+    ALREADY = 'already'
+    LOST = 'lost'
+    REJECTED = 'rejected'
+    UNKNOWN = 'unknown'
+    UNAVAILABLE = 'unavailable'
+
+
+class Submission(msgspec.Struct, frozen=True):
+    """A verdict with the change that decided it.
+
+    Attributes:
+        winner: The submitted change, or the one that won instead.
+        problem: Why the log could not be read or written, if so.
+    """
+
+    verdict: Verdict
+    winner: Winner | None = None
+    problem: str = ''
+
+
+async def submit(
+    client: LogClient,
+    state: State,
+    difference: Difference,
+    apply_id: ApplyId,
+    operator: str,
+) -> Submission:
+    """Appends a change and reads it back.
+
+    Args:
+        client: The log.
+        state: Configuration that the difference was computed against; it is
+            brought up to date.
+        difference: The change.
+        apply_id: New unique id of the change.
+        operator: Who applies it.
+    """
+    record = difference.record(apply_id, state.version, operator)
+    problem = ''
+    written = True
+    try:
+        await client.append(STREAM, encode_record(record))
+    except StoreUnavailableError as error:
+        return Submission(Verdict.UNAVAILABLE, problem=str(error))
+    except AppendUnknownError as error:
+        written = False
+        problem = str(error)
+    for attempt in range(READ_BACK_TRIES):
+        if attempt:
+            await asyncio.sleep(READ_BACK_INTERVAL_S)
+        try:
+            await catch_up(client, state)
+        except StoreUnavailableError as error:
+            problem = str(error)
+            continue
+        submission = judge(state, record, written)
+        if submission is not None:
+            return submission
+    return Submission(Verdict.UNKNOWN, problem=problem)
+
+
+def judge(
+    state: State, record: ApplyRecord, written: bool
+) -> Submission | None:
+    """Returns what became of a record, or None while that is open.
+
+    Args:
+        state: The configuration after the records read so far.
+        record: The submitted record.
+        written: Whether the log has confirmed the append, so that the
+            records read so far contain it.
+    """
+    winner = state.find_winner(record.apply_id)
+    if winner is not None:
+        return Submission(Verdict.ACCEPTED, winner)
+    if state.version > record.base:
+        first = state.winner_of(type(record.base)(record.base + 1))
+        same = state.digest == record.digest
+        return Submission(Verdict.ALREADY if same else Verdict.LOST, first)
+    return Submission(Verdict.REJECTED) if written else None
--- a/teaselcove/configuration.py
+++ b/teaselcove/configuration.py
@@ -2,53 +2,24 @@
 
 import logging
 
-import msgspec
-
 from teaselcove.effects import ReadLog
-from teaselcove.entities import Entities, Key, Organisation, Route, Service
+from teaselcove.entities import Key, Organisation, Route, Service
 from teaselcove.events import ConfigurationChanged, RecordsRead
+from teaselcove.fold import Fate, State, fold
 from teaselcove.ids import (
-    ApplyId,
     BackendServerId,
     Instant,
     KeyId,
-    Offset,
     OrganisationId,
-    RouteId,
     ServiceId,
-    StreamName,
     Version,
 )
 from teaselcove.kernel import Kernel, on, services
+from teaselcove.records import STREAM, ApplyRecord, Removed
 
 log = logging.getLogger(__name__)
 
-STREAM = StreamName('configuration')
-
-
-class Removed(msgspec.Struct, frozen=True):
-    """Ids of the entities that a change removes."""
-
-    organisations: tuple[OrganisationId, ...] = ()
-    keys: tuple[KeyId, ...] = ()
-    services: tuple[ServiceId, ...] = ()
-    routes: tuple[RouteId, ...] = ()
-
-
-class ApplyRecord(msgspec.Struct, frozen=True):
-    """One change of the configuration, as a record of the log.
-
-    Attributes:
-        apply_id: Unique id of the change.
-        base: Version that the change was planned against.
-        put: Entities added or replaced.
-        removed: Entities removed.
-    """
-
-    apply_id: ApplyId
-    base: Version
-    put: Entities
-    removed: Removed = Removed()
+__all__ = ('STREAM', 'ApplyRecord', 'Removed')
 
 
 @services.register('configuration')
@@ -57,13 +28,13 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
-        self.version = Version(0)
-        self.next_offset = Offset(0)
+        self.state = State()
         self.last_log_read: Instant | None = None
-        self.organisations: dict[OrganisationId, Organisation] = {}
-        self.keys: dict[KeyId, Key] = {}
-        self.services: dict[ServiceId, Service] = {}
-        self.routes: dict[RouteId, Route] = {}
+
+    @property
+    def version(self) -> Version:
+        """Version in force on this host."""
+        return self.state.version
 
     def start(self, now: Instant) -> None:
         """Starts to read the log at intervals."""
@@ -71,7 +42,7 @@
 
     def read_log(self, now: Instant) -> None:
         """Asks for the records that are not folded yet."""
-        self.kernel.emit(ReadLog(STREAM, self.next_offset))
+        self.kernel.emit(ReadLog(STREAM, self.state.next_offset))
         interval = self.kernel.settings.log_read_interval
         self.kernel.call_at(Instant(now + interval), self.read_log)
 
@@ -82,23 +53,11 @@
             return
         self.last_log_read = now
         for offset, payload in event.records:
-            if offset >= self.next_offset:
-                self.next_offset = Offset(offset + 1)
-                self.fold(msgspec.json.decode(payload, type=ApplyRecord), now)
-
-    def fold(self, record: ApplyRecord, now: Instant) -> None:
-        """Applies a record if it wins on its base."""
-        if record.base != self.version:
-            return
-        tables = ('organisations', 'keys', 'services', 'routes')
-        for name in tables:
-            table = getattr(self, name)
-            for entity_id in getattr(record.removed, name):
-                table.pop(entity_id, None)
-            for entity in getattr(record.put, name):
-                table[entity.id] = entity
-        self.version = Version(self.version + 1)
-        self.kernel.publish(ConfigurationChanged(self.version), now)
+            if offset >= self.state.next_offset:
+                fate = fold(self.state, offset, payload)
+                if fate is Fate.WON:
+                    changed = ConfigurationChanged(self.version)
+                    self.kernel.publish(changed, now)
 
     def may_serve(self, now: Instant) -> bool:
         """Returns whether keyed requests may rely on this version."""
@@ -106,30 +65,25 @@
 
     def route_for(self, path: str) -> Route | None:
         """Returns the route with the longest matching prefix."""
-        matching = [
-            route
-            for route in self.routes.values()
-            if path.startswith(route.prefix)
-        ]
-        return max(matching, key=lambda route: len(route.prefix), default=None)
+        return self.state.tables.routes.match(path)
 
     def organisation(self, name: OrganisationId) -> Organisation | None:
         """Returns an organisation, or None."""
-        return self.organisations.get(name)
+        return self.state.tables.find('organisations', name)
 
     def service(self, name: ServiceId) -> Service | None:
         """Returns a service, or None."""
-        return self.services.get(name)
+        return self.state.tables.find('services', name)
 
     def key(self, name: KeyId) -> Key | None:
         """Returns a key, or None."""
-        return self.keys.get(name)
+        return self.state.tables.find('keys', name)
 
     def server_address(
         self, service: ServiceId, server: BackendServerId
     ) -> str | None:
         """Returns the address of a backend server, or None."""
-        declared = self.services.get(service)
+        declared = self.service(service)
         if declared is None:
             return None
         for candidate in declared.servers:
--- /dev/null
+++ b/teaselcove/fold.py
@@ -0,0 +1,202 @@
+"""Fold of the configuration stream into a version and its entities.
+
+Hosts and commands call the same function, which depends on nothing but the
+records, so all of them agree on which change won.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from teaselcove.entities import Entities
+from teaselcove.ids import ApplyId, Offset, Version
+from teaselcove.packing import DIGEST_MASK, PACKINGS, Packing
+from teaselcove.records import (
+    KINDS,
+    RECORD_FORMAT,
+    ApplyRecord,
+    Winner,
+    decode_format,
+    decode_record,
+)
+from teaselcove.tables import Tables
+
+# Winners that are remembered, to name them and to recognise a repeated id.
+# An older repeated record has an old base, so it cannot win either.
+REMEMBERED_WINNERS = 256
+
+
+class Fate(Enum):
+    """What became of a record of the log.
+
+    DAMAGED is a record that cannot be read, contradicts itself or does not
+    give the digest that it states. UNKNOWN is one of a later format.
+    """
+
+    WON = 'won'
+    LOST = 'lost'
+    REPEATED = 'repeated'
+    DAMAGED = 'damaged'
+    UNKNOWN = 'unknown'
+
+
+class SkipCounts(msgspec.Struct, array_like=True):
+    """How many records did not win, by the reason."""
+
+    lost: int = 0
+    repeated: int = 0
+    damaged: int = 0
+    unknown: int = 0
+
+    def count(self, fate: Fate) -> None:
+        """Counts a record that did not win."""
+        setattr(self, fate.value, getattr(self, fate.value) + 1)
+
+
+class Change(msgspec.Struct, frozen=True):
+    """The rows that a record changes in the table of one kind."""
+
+    kind: str
+    put: list[bytes]
+    removed: list[str]
+
+
+class State:
+    """The configuration after all records below an offset.
+
+    Attributes:
+        version: Number of changes that won.
+        digest: Sum of the digests of all entities.
+        next_offset: Offset of the next record to fold.
+        skipped: Counts of the records that did not win.
+        winners: The latest changes that won, oldest first.
+        tables: The entities.
+    """
+
+    def __init__(self) -> None:
+        self.version = Version(0)
+        self.digest = 0
+        self.next_offset = Offset(0)
+        self.skipped = SkipCounts()
+        self.winners: deque[Winner] = deque(maxlen=REMEMBERED_WINNERS)
+        self.tables = Tables()
+
+    def winner_of(self, version: Version) -> Winner | None:
+        """Returns the change that created a version, if remembered."""
+        for winner in reversed(self.winners):
+            if winner.version == version:
+                return winner
+        return None
+
+    def find_winner(self, apply_id: ApplyId) -> Winner | None:
+        """Returns a remembered change that won, by its id."""
+        for winner in reversed(self.winners):
+            if winner.apply_id == apply_id:
+                return winner
+        return None
+
+
+def fold(state: State, offset: Offset, payload: bytes) -> Fate:
+    """Takes the record at an offset into a state.
+
+    Args:
+        state: The configuration before the record; it is changed wholly if
+            the record wins, and otherwise only in its counts and offset.
+        offset: The record's offset, not below `state.next_offset`.
+        payload: The record as read from the log.
+
+    Returns:
+        What became of the record.
+    """
+    state.next_offset = Offset(offset + 1)
+    fate = decide(state, offset, payload)
+    if fate is not Fate.WON:
+        state.skipped.count(fate)
+    return fate
+
+
+def decide(state: State, offset: Offset, payload: bytes) -> Fate:
+    """Judges a record and applies it if it wins."""
+    try:
+        if decode_format(payload) != RECORD_FORMAT:
+            return Fate.UNKNOWN
+        record = decode_record(payload)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return Fate.DAMAGED
+    if state.find_winner(record.apply_id) is not None:
+        return Fate.REPEATED
+    if record.base != state.version:
+        return Fate.LOST
+    return apply_record(state, offset, record)
+
+
+def apply_record(state: State, offset: Offset, record: ApplyRecord) -> Fate:
+    """Applies a record on the present base, unless it is inconsistent."""
+    if not is_consistent(record):
+        return Fate.DAMAGED
+    changes = list(changes_of(record))
+    digest = digest_after(state, changes)
+    if record.digest is not None and record.digest != digest:
+        return Fate.DAMAGED
+    for change in changes:
+        table = state.tables.by_kind[change.kind]
+        for name in change.removed:
+            table.remove(name)
+        table.update(change.put)
+    state.digest = digest
+    state.version = Version(state.version + 1)
+    state.winners.append(
+        Winner(state.version, record.apply_id, record.operator, offset)
+    )
+    return Fate.WON
+
+
+def is_consistent(record: ApplyRecord) -> bool:
+    """Returns whether a record names each entity at most once."""
+    for kind in KINDS:
+        names = [entity.id for entity in getattr(record.put, kind)]
+        names.extend(getattr(record.removed, kind))
+        if len(set(names)) < len(names):
+            return False
+    return True
+
+
+def changes_of(record: ApplyRecord) -> Iterator[Change]:
+    """Yields the changed rows of each kind."""
+    for packing in PACKINGS:
+        put = getattr(record.put, packing.kind)
+        rows = [packing.pack(entity) for entity in put]
+        removed = list(getattr(record.removed, packing.kind))
+        yield Change(packing.kind, rows, removed)
+
+
+def digest_after(state: State, changes: list[Change]) -> int:
+    """Returns the digest after a change; its cost is that of the change."""
+    digest = state.digest
+    for change in changes:
+        table = state.tables.by_kind[change.kind]
+        packing = table.packing
+        names = list(change.removed)
+        for row in change.put:
+            digest += packing.digest(row)
+            names.append(packing.unpack(row).id)
+        for name in names:
+            digest -= digest_of_row(packing, table.row(name))
+    return digest & DIGEST_MASK
+
+
+def digest_of_row(packing: Packing, row: bytes | None) -> int:
+    """Returns the digest of a row, or 0 if there is none."""
+    return 0 if row is None else packing.digest(row)
+
+
+def digest_of(entities: Entities) -> int:
+    """Returns the digest of a whole configuration."""
+    total = 0
+    for packing in PACKINGS:
+        found: tuple[Any, ...] = getattr(entities, packing.kind)
+        total += sum(packing.digest(packing.pack(entity)) for entity in found)
+    return total & DIGEST_MASK
--- a/teaselcove/jsonc.py
+++ b/teaselcove/jsonc.py
@@ -6,9 +6,9 @@
 
 import msgspec
 from lark import Lark, Token, Transformer, v_args
-from lark.exceptions import UnexpectedInput
+from lark.exceptions import UnexpectedInput, VisitError
 
-from teaselcove.errors import FieldError
+from teaselcove.errors import FieldError, TeaselcoveError
 
 GRAMMAR = r"""
 start: node
@@ -38,11 +38,13 @@
         path: The file's path.
         root: The data, as the module `json` would give it.
         lines: Line of each value by its path of names and indices.
+        spans: Start and end of each object and array in the text.
     """
 
     path: str
     root: Any
     lines: dict[Steps, int]
+    spans: dict[Steps, tuple[int, int]] = {}
 
     def line_of(self, steps: Steps) -> int:
         """Returns the line of a value or of its nearest parent."""
@@ -63,6 +65,7 @@
 
     line: int
     value: Any
+    span: tuple[int, int] | None = None
 
 
 class Pair(msgspec.Struct):
@@ -83,26 +86,49 @@
 
     def string(self, token: Token) -> Node:
         """Returns a string."""
-        return Node(token.line, json.loads(token))
+        return Node(token.line, load_scalar(token))
 
     number = string
     literal = string
 
     def pair(self, token: Token, node: Node) -> Pair:
         """Returns a member of an object."""
-        return Pair(token.line, json.loads(token), node)
+        return Pair(token.line, load_scalar(token), node)
 
     @v_args(inline=False, meta=True)
     def object(self, meta: Any, children: list[Pair | None]) -> Node:
         """Returns an object."""
         members = [child for child in children if child is not None]
-        return Node(getattr(meta, 'line', 1), members)
+        return Node(meta.line, members, (meta.start_pos, meta.end_pos))
 
     @v_args(inline=False, meta=True)
     def array(self, meta: Any, children: list[Node | None]) -> Node:
         """Returns an array."""
         nodes = [child for child in children if child is not None]
-        return Node(getattr(meta, 'line', 1), tuple(nodes))
+        span = (meta.start_pos, meta.end_pos)
+        return Node(meta.line, tuple(nodes), span)
+
+
+def load_scalar(token: Token) -> Any:
+    """Returns the value of a string, number or literal.
+
+    Raises:
+        ScalarError: If an escape, a character or a number is not valid.
+    """
+    try:
+        loaded = json.loads(token)
+        str(loaded).encode()
+    except ValueError as error:
+        raise ScalarError(token.line) from error
+    return loaded
+
+
+class ScalarError(TeaselcoveError):
+    """A string or number matches the grammar but has no value."""
+
+    def __init__(self, line: int) -> None:
+        self.line = line
+        super().__init__('not a valid string or number')
 
 
 parser = Lark(
@@ -125,7 +151,11 @@
     except UnexpectedInput as error:
         line = max(1, getattr(error, 'line', 1))
         raise FieldError(path, line, '', 'not valid JSON') from error
-    node = builder.transform(tree)
+    try:
+        node = builder.transform(tree)
+    except VisitError as error:
+        line = getattr(error.orig_exc, 'line', 1)
+        raise FieldError(path, line, '', str(error.orig_exc)) from error
     document = Document(path, None, {})
     document.root = collect(document, (), node)
     return document
@@ -134,6 +164,8 @@
 def collect(document: Document, steps: Steps, node: Node) -> Any:
     """Returns plain data and notes the line of each value."""
     document.lines[steps] = node.line
+    if node.span is not None:
+        document.spans[steps] = node.span
     if isinstance(node.value, list):
         members: dict[str, Any] = {}
         for pair in node.value:
