--- a/teaselcove/commands/changes.py
+++ b/teaselcove/commands/changes.py
@@ -16,7 +16,7 @@
 from teaselcove.entities import Entities
 from teaselcove.errors import StoreUnavailableError
 from teaselcove.fold import State, digest_of
-from teaselcove.ids import ApplyId
+from teaselcove.ids import ApplyId, Version
 from teaselcove.plan import Difference, difference
 from teaselcove.store import LogClient
 
@@ -82,6 +82,32 @@
     run(change_to(read_directory(directory), log_url, operator))
 
 
+def rollback(version: int, log_url: str, operator: str = '') -> None:
+    """Applies the configuration of an earlier version again.
+
+    Args:
+        version: The earlier version.
+        log_url: Base URL of the log service.
+        operator: Name that other operators see; the login name by default.
+    """
+    wanted = run(load_version(log_url, Version(version)))
+    if wanted is None:
+        stop(
+            ExitCode.INVALID,
+            f'no version {version} can be read from the log; nothing was '
+            'applied',
+        )
+    run(change_to(wanted, log_url, operator))
+
+
+async def load_version(log_url: str, version: Version) -> Entities | None:
+    """Returns the entities of a version, or None if it cannot be read."""
+    async with aiohttp.ClientSession() as session:
+        client = LogClient(log_url, session)
+        state = await history.load_version(client, version)
+    return None if state is None else state.tables.entities()
+
+
 async def load(log_url: str) -> State:
     """Returns the configuration that the log holds."""
     async with aiohttp.ClientSession() as session:
--- a/teaselcove/commands/history.py
+++ b/teaselcove/commands/history.py
@@ -23,6 +23,22 @@
     return state
 
 
+async def load_version(client: LogClient, version: Version) -> State | None:
+    """Returns the configuration of a version, or None if it is not known.
+
+    Raises:
+        StoreUnavailableError: If the log does not answer.
+    """
+    if version < 1:
+        return None
+    state = State()
+    try:
+        await catch_up(client, state, version)
+    except HistoryLostError:
+        return None
+    return state if state.version == version else None
+
+
 async def catch_up(
     client: LogClient, state: State, last: Version | None = None
 ) -> None:
--- a/teaselcove/commands/main.py
+++ b/teaselcove/commands/main.py
@@ -1,29 +1,39 @@
-"""Entry point of the command line."""
+"""Entry point of the `teaselcove` command line."""
+
+from pathlib import Path
 
 import fire
 
-from teaselcove.commands import changes
+from teaselcove.commands import changes, keyring, status
+from teaselcove.commands.output import ExitCode, stop
+from teaselcove.errors import FieldError
 
 
 def serve(settings: str) -> None:
-    """Runs a host.
+    """Runs a host of the fleet.
 
     Args:
-        settings: Path of the file of settings.
+        settings: File with the settings of the host.
     """
-    from teaselcove import daemon  # noqa: PLC0415, WPS433
+    from teaselcove import daemon  # noqa: WPS433
 
-    daemon.serve(settings)
+    daemon.serve(Path(str(settings)))
 
 
 COMMANDS = {
     'validate': changes.validate,
     'plan': changes.plan,
     'apply': changes.apply,
+    'rollback': changes.rollback,
+    'status': status.status,
+    'keys': {'issue': keyring.issue, 'withdraw': keyring.withdraw},
     'serve': serve,
 }
 
 
 def main() -> None:
     """Runs the command that the arguments name."""
-    fire.Fire(COMMANDS, name='teaselcove')
+    try:
+        fire.Fire(COMMANDS, name='teaselcove')
+    except FieldError as error:
+        stop(ExitCode.INVALID, str(error))
--- a/teaselcove/configuration.py
+++ b/teaselcove/configuration.py
@@ -36,6 +36,11 @@
         """Version in force on this host."""
         return self.state.version
 
+    @property
+    def digest(self) -> int:
+        """Digest of the configuration in force on this host."""
+        return self.state.digest
+
     def start(self, now: Instant) -> None:
         """Starts to read the log at intervals."""
         self.read_log(now)
@@ -79,14 +84,6 @@
         """Returns a key, or None."""
         return self.state.tables.find('keys', name)
 
-    def server_address(
-        self, service: ServiceId, server: BackendServerId
-    ) -> str | None:
+    def server_address(self, server: BackendServerId) -> str | None:
         """Returns the address of a backend server, or None."""
-        declared = self.service(service)
-        if declared is None:
-            return None
-        for candidate in declared.servers:
-            if candidate.id == server:
-                return candidate.address
-        return None
+        return self.state.tables.services.server_address(server)
--- a/teaselcove/fold.py
+++ b/teaselcove/fold.py
@@ -137,7 +137,10 @@
     """Applies a record on the present base, unless it is inconsistent."""
     if not is_consistent(record):
         return Fate.DAMAGED
-    changes = list(changes_of(record))
+    try:
+        changes = list(changes_of(record))
+    except (OverflowError, ValueError):
+        return Fate.DAMAGED
     digest = digest_after(state, changes)
     if record.digest is not None and record.digest != digest:
         return Fate.DAMAGED
--- a/teaselcove/tables.py
+++ b/teaselcove/tables.py
@@ -8,9 +8,9 @@
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from typing import Any, TypeVar
+from typing import Any, TypeVar, cast
 
-from teaselcove.entities import Entities, Route
+from teaselcove.entities import Entities, Route, Service
 from teaselcove.packing import DIGEST_MASK, PACKINGS, Packing
 from teaselcove.records import KINDS
 
@@ -102,7 +102,14 @@
         cached = self.cache.get(name)
         if cached is not None:
             return cached
-        entity = self.unpack_at(self.place_of(name))
+        for place in self.by_id.find(name):
+            entity = self.unpack_at(place)
+            if entity.id == name:
+                return self.keep(name, entity)
+        raise KeyError(name)
+
+    def keep(self, name: str, entity: EntityT) -> EntityT:
+        """Keeps a decoded entity for the next look-up."""
         if len(self.cache) >= CACHED_ENTITIES:
             self.cache.clear()
         self.cache[name] = entity
@@ -243,12 +250,16 @@
         for place in self.by_prefix.find(prefix):
             route = self.unpack_at(place)
             if route.prefix == prefix:
-                if len(self.by_path) >= CACHED_ENTITIES:
-                    self.by_path.clear()
-                self.by_path[prefix] = route
-                return route
+                return self.keep_path(prefix, route)
         return None
 
+    def keep_path(self, prefix: str, route: Route) -> Route:
+        """Keeps a decoded route for the next look-up."""
+        if len(self.by_path) >= CACHED_ENTITIES:
+            self.by_path.clear()
+        self.by_path[prefix] = route
+        return route
+
     def rebuild(self, places: Sequence[int]) -> None:
         """Builds the indexes for rows at some places."""
         super().rebuild(places)
@@ -280,21 +291,80 @@
         self.descending = sorted(self.lengths, reverse=True)
 
 
+class ServiceTable(Table[Service]):
+    """Services by id and by the ids of their backend servers."""
+
+    def __init__(self, packing: Packing) -> None:
+        super().__init__(packing)
+        self.by_server = HashIndex()
+        self.addresses: dict[str, str] = {}
+
+    def server_address(self, name: str) -> str | None:
+        """Returns the address of a backend server, or None."""
+        cached = self.addresses.get(name)
+        if cached is not None:
+            return cached
+        for place in self.by_server.find(name):
+            for server in self.unpack_at(place).servers:
+                if server.id == name:
+                    self.keep_address(name, server.address)
+                    return server.address
+        return None
+
+    def keep_address(self, name: str, address: str) -> None:
+        """Keeps an address for the next look-up."""
+        if len(self.addresses) >= CACHED_ENTITIES:
+            self.addresses.clear()
+        self.addresses[name] = address
+
+    def rebuild(self, places: Sequence[int]) -> None:
+        """Builds the indexes for rows at some places."""
+        super().rebuild(places)
+        self.addresses.clear()
+        self.by_server.rebuild(
+            (server.id, place)
+            for place in places
+            for server in self.unpack_at(place).servers
+        )
+
+    def index(self, entity: Service, place: int) -> None:
+        """Adds a service to the indexes."""
+        super().index(entity, place)
+        for server in entity.servers:
+            self.by_server.add(server.id, place)
+
+    def unindex(self, entity: Service, place: int) -> None:
+        """Removes a service from the indexes."""
+        super().unindex(entity, place)
+        self.addresses.clear()
+        for server in entity.servers:
+            self.by_server.remove(server.id, place)
+
+
+FACTORIES: dict[str, type[Table[Any]]] = {
+    'services': ServiceTable,
+    'routes': RouteTable,
+}
+
+
 class Tables:
     """The packed tables of all kinds."""
 
     def __init__(self) -> None:
         self.by_kind: dict[str, Table[Any]] = {}
         for packing in PACKINGS:
-            factory = RouteTable if packing.kind == 'routes' else Table
+            factory = FACTORIES.get(packing.kind, Table)
             self.by_kind[packing.kind] = factory(packing)
 
+    @property
+    def services(self) -> ServiceTable:
+        """The services."""
+        return cast(ServiceTable, self.by_kind['services'])
+
     @property
     def routes(self) -> RouteTable:
         """The routes."""
-        routes = self.by_kind['routes']
-        assert isinstance(routes, RouteTable)
-        return routes
+        return cast(RouteTable, self.by_kind['routes'])
 
     def find(self, kind: str, name: str) -> Any:
         """Returns the entity of a kind and id, or None."""
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,187 @@
+"""Tests of the commands against a log that fails."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.fleet import FakeLog
+from teaselcove import events as ev
+from teaselcove.commands import changes, submission
+from teaselcove.commands.status import HostReport, compare
+from teaselcove.errors import AppendUnknownError, StoreUnavailableError
+from teaselcove.fold import State
+from teaselcove.records import STREAM, ApplyRecord, encode_record
+from tests.support import ENTITIES
+from tests.test_documents import VALID, write
+
+RIVAL = encode_record(ApplyRecord('rival', 0, ENTITIES, operator='eve'))
+URL = 'http://127.0.0.1:1'
+
+
+class FakeClient:
+    """A log client whose faults a test chooses.
+
+    Attributes:
+        before_append: Records that other operators append first.
+        append_fault: Fault of the next append: 'refused', 'no-reply',
+            'dropped' or empty.
+        reads_left: Reads that succeed, or None for all.
+    """
+
+    def __init__(self) -> None:
+        self.log = FakeLog()
+        self.before_append: list[bytes] = []
+        self.append_fault = ''
+        self.reads_left: int | None = None
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Appends a record."""
+        while self.before_append:
+            self.log.append(stream, self.before_append.pop())
+        if self.append_fault == 'refused':
+            raise StoreUnavailableError('refused')
+        if self.append_fault != 'dropped':
+            self.log.append(stream, payload)
+        if self.append_fault:
+            raise AppendUnknownError('no reply')
+        return len(self.log.streams[stream]) - 1
+
+    async def read(self, stream: str, offset: int) -> ev.RecordsRead:
+        """Reads a stream."""
+        if self.reads_left is not None:
+            self.reads_left -= 1
+            if self.reads_left < 0:
+                raise StoreUnavailableError('down')
+        return self.log.read(stream, offset)
+
+
+@pytest.fixture
+def client(monkeypatch: pytest.MonkeyPatch) -> FakeClient:
+    """The log that the commands use."""
+    fake = FakeClient()
+    monkeypatch.setattr(changes, 'LogClient', lambda url, session: fake)
+    monkeypatch.setattr(submission, 'READ_BACK_TRIES', 2)
+    monkeypatch.setattr(submission, 'READ_BACK_INTERVAL_S', 0)
+    return fake
+
+
+def exit_code(command: Any, *arguments: Any) -> int:
+    """Returns the exit code of a command."""
+    try:
+        command(*arguments)
+    except SystemExit as stopped:
+        return int(stopped.code)
+    return 0
+
+
+class TestApply:
+    """Exit codes and words tell the truth about the log."""
+
+    @pytest.mark.parametrize(
+        ('options', 'code', 'words'),
+        [
+            ({}, 0, 'accepted: version 1'),
+            ({'before_append': [RIVAL]}, 3, 'lost: apply rival by eve'),
+            ({'append_fault': 'no-reply'}, 0, 'accepted: version 1'),
+            ({'append_fault': 'dropped'}, 4, 'may or may not take effect'),
+            (
+                {'append_fault': 'dropped', 'before_append': [RIVAL]},
+                3,
+                'lost: apply rival',
+            ),
+            ({'append_fault': 'refused'}, 1, 'nothing was applied'),
+            ({'reads_left': 0}, 1, 'nothing was applied'),
+            ({'reads_left': 1}, 4, 'may or may not take effect'),
+            ({'before_append': [b'{']}, 0, 'accepted: version 1'),
+        ],
+    )
+    def test_contract(
+        self,
+        client: FakeClient,
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+        options: dict[str, Any],
+        code: int,
+        words: str,
+    ) -> None:
+        """Guards against an untrue report about a change."""
+        for name, setting in options.items():
+            setattr(client, name, setting)
+        arguments = (changes.apply, str(write(tmp_path)), URL, 'me')
+        assert exit_code(*arguments) == code
+        printed = capsys.readouterr()
+        assert words in printed.out + printed.err
+
+    @pytest.mark.parametrize('fault', ['no-reply', 'dropped'])
+    def test_apply_again(
+        self,
+        client: FakeClient,
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+        fault: str,
+    ) -> None:
+        """Guards against a second version after a lost reply."""
+        client.append_fault = fault
+        client.reads_left = 1
+        arguments = (changes.apply, str(write(tmp_path)), URL, 'me')
+        assert exit_code(*arguments) == 4
+        client.append_fault = ''
+        client.reads_left = None
+        assert exit_code(*arguments) == 0
+        assert exit_code(*arguments) == 0
+        assert 'nothing to change: version 1' in capsys.readouterr().out
+        assert len(client.log.streams[STREAM]) == 1
+
+    def test_late_copy_of_the_same_change(
+        self, client: FakeClient, tmp_path: Path
+    ) -> None:
+        """Guards against reporting a change as lost that is in force."""
+        arguments = (changes.apply, str(write(tmp_path)), URL, 'me')
+        exit_code(*arguments)
+        late = client.log.streams[STREAM].pop()
+        client.before_append = [late.replace(b'"apply_id":"', b'"apply_id":"x')]
+        assert exit_code(*arguments) == 0
+        assert len(client.log.streams[STREAM]) == 2
+
+    def test_invalid(self, client: FakeClient, tmp_path: Path) -> None:
+        """Guards against applying a part of a directory."""
+        write(write(tmp_path), '{', 'b.jsonc')
+        assert exit_code(changes.apply, str(tmp_path), URL, 'me') == 2
+        assert not client.log.streams[STREAM]
+
+    def test_rollback(
+        self,
+        client: FakeClient,
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        """Guards against a rollback that is not the earlier content."""
+        arguments = (changes.apply, str(tmp_path), URL, 'me')
+        write(tmp_path)
+        exit_code(*arguments)
+        write(tmp_path, VALID.replace('"burst": 4', '"burst": 9'))
+        exit_code(*arguments)
+        assert exit_code(changes.rollback, 1, URL, 'me') == 0
+        assert exit_code(changes.rollback, 9, URL, 'me') == 2
+        write(tmp_path)
+        exit_code(*arguments)
+        assert 'nothing to change: version 3' in capsys.readouterr().out
+
+
+class TestStatus:
+    """The status compares a host with the log."""
+
+    @pytest.mark.parametrize(
+        ('version', 'digest', 'words'),
+        [
+            (0, '0', 'up to date'),
+            (0, '1', 'DIFFERENT CONTENT'),
+            (2, '0', 'newer'),
+            (-1, '0', '1 versions behind'),
+        ],
+    )
+    def test_compare(self, version: int, digest: str, words: str) -> None:
+        """Guards against calling a stale host up to date."""
+        report = HostReport('host-1', version, digest, True, 0)
+        assert words in compare(report, State())
