Add ownership of slices folded from the log

Rates and claims need owners that all hosts agree on without a second coordination service. Owners are folded from the stream `ownership`: a change wins if its base is the present epoch of its place. The host that rendezvous hashing selects proposes owners for vacant places after the list lag, a restarted process replaces its own earlier incarnation, and a draining host names its successors in one record.

In the stand-in fleet a first allocation of 256 slices over 6 hosts takes at most 2 records and a drain takes 1.

--- /dev/null
+++ b/teaselcove/allocation.py
@@ -0,0 +1,130 @@
+"""Choice of the hosts that are to own slices."""
+
+import heapq
+from collections import defaultdict
+
+from teaselcove.events import HostEntry
+from teaselcove.ids import HostId, Incarnation, SliceId, ZoneName
+from teaselcove.placement import rendezvous_score
+from teaselcove.slices import OWNER_COUNT, SeatChange, SeatKey, SliceTable
+
+
+class Allocator:
+    """Chooses hosts with few places, in zones that a slice does not use.
+
+    Attributes:
+        zones: Hosts by availability zone, as heaps of (places, score, host).
+        taken: Places that this allocator has given away, with their host.
+    """
+
+    def __init__(
+        self,
+        table: SliceTable,
+        hosts: list[HostEntry],
+        incarnations: dict[HostId, Incarnation],
+    ) -> None:
+        self.table = table
+        self.incarnations = incarnations
+        self.zone_of = {entry.host: entry.zone for entry in hosts}
+        self.zones: dict[ZoneName, list[tuple[int, int, HostId]]]
+        self.zones = defaultdict(list)
+        self.taken: dict[SeatKey, HostId] = {}
+        for entry in hosts:
+            places = len(table.places_of(entry.host))
+            score = rendezvous_score('places', entry.host)
+            heapq.heappush(self.zones[entry.zone], (places, score, entry.host))
+
+    def allocate(self, vacant: list[SeatKey]) -> list[SeatChange]:
+        """Returns the changes that name an owner for each vacant place."""
+        changes = []
+        open_places = set(vacant)
+        for place in vacant:
+            used = self.used_hosts(place.slice_id, open_places)
+            host = self.choose(used)
+            if host is not None:
+                open_places.discard(place)
+                self.taken[place] = host
+                changes.append(self.change(place, host))
+        return changes
+
+    def used_hosts(
+        self, slice_id: SliceId, vacant: set[SeatKey]
+    ) -> set[HostId]:
+        """Returns the hosts that own a slice or are chosen to."""
+        places = [SeatKey(slice_id, index) for index in range(OWNER_COUNT)]
+        return {
+            self.taken.get(place, self.table.seats[place].host)
+            for place in places
+            if place not in vacant
+        }
+
+    def choose(self, used: set[HostId]) -> HostId | None:
+        """Returns the best host beside those used, if there is any host.
+
+        A zone that is not used comes first, then a host that is not used.
+        With fewer hosts than owners, a host owns a slice more than once.
+        """
+        used_zones = {self.zone_of.get(host) for host in used}
+        free = [zone for zone in self.zones if zone not in used_zones]
+        if free:
+            return self.pop_least(free, set())
+        chosen = self.pop_least(list(self.zones), used)
+        if chosen is None:
+            chosen = self.pop_least(list(self.zones), set())
+        return chosen
+
+    def pop_least(
+        self, zones: list[ZoneName], excluded: set[HostId]
+    ) -> HostId | None:
+        """Takes the host with the fewest places and counts one more."""
+        # At most the excluded hosts come before the first other one.
+        limit = len(excluded) + 1
+        best = min(
+            (
+                (entry, zone)
+                for zone in zones
+                for entry in heapq.nsmallest(limit, self.zones[zone])
+                if entry[2] not in excluded
+            ),
+            default=None,
+        )
+        if best is None:
+            return None
+        (places, score, host), chosen_zone = best
+        heap = self.zones[chosen_zone]
+        heap.remove((places, score, host))
+        heap.append((places + 1, score, host))
+        heapq.heapify(heap)
+        return host
+
+    def change(self, place: SeatKey, host: HostId) -> SeatChange:
+        """Returns the change that names a host."""
+        return SeatChange(
+            place.slice_id,
+            place.index,
+            self.table.seats[place].epoch,
+            host,
+            self.incarnations.get(host, Incarnation(0)),
+        )
+
+
+def misplaced(
+    table: SliceTable, host: HostId, zones: dict[HostId, ZoneName]
+) -> list[SeatKey]:
+    """Returns places that a host should hand over.
+
+    These are its second and third place in a slice, and a place whose zone
+    has another owner with a lower index, if a host or zone is free.
+    """
+    found = []
+    for place in sorted(table.places_of(host)):
+        seats = table.owners(place.slice_id)
+        earlier = [seat.host for seat in seats if seat.index < place.index]
+        used = {seat.host for seat in seats}
+        used_zones = {zones.get(seat.host) for seat in seats}
+        free_host = any(other not in used for other in zones)
+        free_zone = any(zone not in used_zones for zone in zones.values())
+        shares_zone = zones.get(host) in {zones.get(one) for one in earlier}
+        if (host in earlier and free_host) or (shares_zone and free_zone):
+            found.append(place)
+    return found
--- a/teaselcove/events.py
+++ b/teaselcove/events.py
@@ -13,6 +13,7 @@
     Incarnation,
     Offset,
     RequestId,
+    SliceId,
     StreamName,
     ZoneName,
 )
@@ -189,3 +190,13 @@
     """A new version of the configuration is in force on this host."""
 
     version: int
+
+
+class OwnershipChanged(msgspec.Struct, frozen=True):
+    """New owners of some slices were read from the log.
+
+    Attributes:
+        slices: The slices that have a new owner.
+    """
+
+    slices: frozenset[SliceId]
--- a/teaselcove/ids.py
+++ b/teaselcove/ids.py
@@ -18,6 +18,7 @@
 Version = NewType('Version', int)
 Offset = NewType('Offset', int)
 StreamName = NewType('StreamName', str)
+SliceId = NewType('SliceId', int)
 
 # Monotonic time in seconds. Each function that decides takes it as argument.
 Instant = NewType('Instant', float)
--- /dev/null
+++ b/teaselcove/ownership.py
@@ -0,0 +1,148 @@
+"""Owners of slices, from the records of the stream `ownership`."""
+
+import msgspec
+
+from teaselcove.effects import ReadLog
+from teaselcove.events import (
+    OwnershipChanged,
+    PauseDetected,
+    RecordsRead,
+    StoreFailed,
+)
+from teaselcove.ids import (
+    HostId,
+    Incarnation,
+    Instant,
+    Offset,
+    OrganisationId,
+    SliceId,
+    StreamName,
+)
+from teaselcove.kernel import Kernel, on, services
+from teaselcove.slices import (
+    OwnershipRecord,
+    Seat,
+    SeatKey,
+    SliceTable,
+    slice_of,
+)
+
+STREAM = StreamName('ownership')
+
+
+@services.register('ownership')
+class Ownership:
+    """Reads who owns each slice; the service `proposals` writes it.
+
+    Each `ReadLog` of the stream is answered by one event before the next is
+    sent. A reply to a read from before a pause therefore never counts as one
+    from after it.
+
+    Attributes:
+        has_authority: Whether the stream was read since start and pause.
+        surrendered: Epochs of places that a record of this host hands over;
+            it never acts for them again.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.table = SliceTable()
+        self.next_offset = Offset(0)
+        self.has_authority = False
+        self.is_reading = False
+        self.read_is_stale = False
+        self.surrendered: dict[SeatKey, int] = {}
+
+    @property
+    def host(self) -> HostId:
+        """The id of this host."""
+        return self.kernel.settings.host
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation of this process."""
+        return self.kernel.service('membership').incarnation
+
+    def start(self, now: Instant) -> None:
+        """Starts to read the stream at intervals."""
+        self.read_at_intervals(now)
+
+    def slice_of(self, organisation: OrganisationId) -> SliceId:
+        """Returns the slice of an organisation."""
+        return slice_of(organisation)
+
+    def owners(self, slice_id: SliceId) -> tuple[Seat, ...]:
+        """Returns the owners of a slice by index; fewer before allocation."""
+        return self.table.owners(slice_id)
+
+    def owned(self, slice_id: SliceId, now: Instant) -> tuple[Seat, ...]:
+        """Returns the places of a slice that this process may act for."""
+        if not self.has_authority:
+            return ()
+        return tuple(
+            seat
+            for seat in self.table.owners(slice_id)
+            if seat.host == self.host
+            and seat.incarnation == self.incarnation
+            and self.surrendered.get(SeatKey(slice_id, seat.index))
+            != seat.epoch
+        )
+
+    def is_owner(self, slice_id: SliceId, now: Instant) -> int | None:
+        """Returns the first index that this process may act for, or None."""
+        seats = self.owned(slice_id, now)
+        return seats[0].index if seats else None
+
+    def read_at_intervals(self, now: Instant) -> None:
+        """Reads the stream unless a read is under way."""
+        self.read(now)
+        interval = self.kernel.settings.log_read_interval
+        self.kernel.call_at(Instant(now + interval), self.read_at_intervals)
+
+    def read(self, now: Instant) -> None:
+        """Asks for the records that are not folded yet."""
+        if not self.is_reading:
+            self.is_reading = True
+            self.kernel.emit(ReadLog(STREAM, self.next_offset))
+
+    @on(RecordsRead)
+    def records_read(self, event: RecordsRead, now: Instant) -> None:
+        """Folds new records and regains authority."""
+        if event.stream != STREAM:
+            return
+        self.is_reading = False
+        changed: set[SliceId] = set()
+        for offset, payload in event.records:
+            if offset >= self.next_offset:
+                self.next_offset = Offset(offset + 1)
+                record = msgspec.msgpack.decode(payload, type=OwnershipRecord)
+                changed |= self.table.fold(record)
+        if self.read_is_stale:
+            self.read_is_stale = False
+            self.read(now)
+        else:
+            self.has_authority = True
+        if changed:
+            self.kernel.publish(OwnershipChanged(frozenset(changed)), now)
+
+    @on(StoreFailed)
+    def store_failed(self, event: StoreFailed, now: Instant) -> None:
+        """Lets the next interval read again."""
+        if event.stream == STREAM:
+            self.is_reading = False
+            self.read_is_stale = False
+
+    @on(PauseDetected)
+    def pause_detected(self, event: PauseDetected, now: Instant) -> None:
+        """Suspends authority until a read that starts from now on."""
+        self.has_authority = False
+        self.read_is_stale = self.is_reading
+        self.read(now)
+
+    def own_places(self) -> list[SeatKey]:
+        """Returns the places of this process."""
+        return sorted(
+            place
+            for place in self.table.places_of(self.host)
+            if self.table.seats[place].incarnation == self.incarnation
+        )
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,127 @@
+"""Tests of the owners of slices."""
+
+from itertools import product
+
+import msgspec
+
+from standins.fleet import Fleet
+from teaselcove.events import DrainRequested
+from teaselcove.ownership import STREAM, Ownership
+from teaselcove.slices import (
+    SLICE_COUNT,
+    OwnershipRecord,
+    SeatChange,
+    SliceTable,
+    all_places,
+)
+from tests.test_fleet import make_fleet
+
+
+def ownership(fleet: Fleet, name: str) -> Ownership:
+    return fleet.hosts[name].kernel.service('ownership')
+
+
+def acting(fleet: Fleet) -> list[tuple[int, int]]:
+    """Returns the places that some host acts for, with repetitions."""
+    owned = [
+        (slice_id, ownership(fleet, name).owned(slice_id, fleet.now))
+        for name, slice_id in product(fleet.hosts, range(SLICE_COUNT))
+    ]
+    return sorted(
+        (slice_id, seat.index) for slice_id, seats in owned for seat in seats
+    )
+
+
+ALL_PLACES = [(place.slice_id, place.index) for place in all_places()]
+
+
+class TestFold:
+    """Records win or lose by their base epoch."""
+
+    def test_first_record_wins(self) -> None:
+        """Guards against two owners after a race of proposers."""
+        table = SliceTable()
+        first = SeatChange(7, 1, 0, 'host-1', 1)
+        second = SeatChange(7, 1, 0, 'host-2', 2)
+        assert table.fold(OwnershipRecord((first, second))) == {7}
+        assert not table.fold(OwnershipRecord((second,)))
+        assert [seat.host for seat in table.owners(7)] == ['host-1']
+
+
+class TestOwnership:
+    """A fleet names owners and replaces them when they are gone."""
+
+    def test_first_allocation(self) -> None:
+        """Guards against owners in one zone and against many appends."""
+        fleet = make_fleet(6)
+        fleet.run_until(8)
+        assert acting(fleet) == ALL_PLACES
+        assert len(fleet.log.streams[STREAM]) <= 2
+        for slice_id in range(SLICE_COUNT):
+            seats = ownership(fleet, 'host-1').owners(slice_id)
+            zones = {fleet.hosts[seat.host].entry.zone for seat in seats}
+            assert len(zones) == 3
+
+    def test_single_host(self) -> None:
+        """Guards against a small fleet that never reaches its rate."""
+        fleet = make_fleet(1)
+        fleet.run_until(6)
+        assert acting(fleet) == ALL_PLACES
+
+    def test_crashed_owner(self) -> None:
+        """Guards against replacing an owner before the list's lag."""
+        fleet = make_fleet(6)
+        fleet.run_until(8)
+        fleet.crash('host-3')
+        fleet.run_until(19)
+        assert acting(fleet) != ALL_PLACES
+        fleet.run_until(25)
+        assert acting(fleet) == ALL_PLACES
+
+    def test_restart(self) -> None:
+        """Guards against waiting for a list that never drops the host."""
+        fleet = make_fleet(6)
+        fleet.run_until(8)
+        fleet.add_host(fleet.hosts['host-3'].kernel.settings)
+        fleet.run_until(11)
+        assert acting(fleet) == ALL_PLACES
+
+    def test_drain(self) -> None:
+        """Guards against a drain that needs many appends or two owners."""
+        fleet = make_fleet(6)
+        fleet.run_until(8)
+        before = len(fleet.log.streams[STREAM])
+        fleet.handle('host-3', DrainRequested())
+        assert not ownership(fleet, 'host-3').is_owner(3, fleet.now)
+        fleet.run_until(10)
+        assert len(fleet.log.streams[STREAM]) == before + 1
+        assert acting(fleet) == ALL_PLACES
+        assert not ownership(fleet, 'host-3').own_places()
+
+    def test_pause(self) -> None:
+        """Guards against authority from a read that a pause made old."""
+        fleet = make_fleet(6)
+        fleet.run_until(8.005)
+        owner = ownership(fleet, 'host-3')
+        kernel = fleet.hosts['host-3'].kernel
+        stale = fleet.log.read(STREAM, owner.next_offset)
+        owner.is_reading = True
+        kernel.handle(stale, 12)
+        assert not owner.has_authority
+        kernel.handle(stale, 12.1)
+        assert owner.has_authority
+
+    def test_zero_incarnation(self) -> None:
+        """Guards against authority when the list knows no incarnation."""
+        fleet = make_fleet(3)
+        fleet.listed = [
+            (
+                0,
+                {
+                    name: msgspec.structs.replace(host.entry, incarnation=0)
+                    for name, host in fleet.hosts.items()
+                },
+            )
+        ]
+        fleet.run_until(9)
+        assert acting(fleet) == ALL_PLACES
