Drain a host without interrupting a request

Cause: a drain request only set a flag; nothing ended the process, and new requests were still accepted.

Change: the service `drain` waits until no request is in flight and the places of this host have successors (at most 3 s for the latter), then emits Exit. At 0.5 s before the drain limit it refuses what is left: unknown if an attempt may have started, not run otherwise.

--- /dev/null
+++ b/teaselcove/drain.py
@@ -0,0 +1,73 @@
+"""Graceful shutdown: ends the process when no request is in flight."""
+
+from teaselcove.effects import Exit
+from teaselcove.errors import Reason
+from teaselcove.events import DrainRequested
+from teaselcove.ids import Instant
+from teaselcove.kernel import Kernel, on, services
+
+CHECK_INTERVAL_S = 0.05
+# Time for the record that names successors and for the last messages about
+# claims. A successor takes over without them too, only later.
+HANDOVER_LIMIT_S = 3
+# The daemon needs this much of the drain limit to write the last answers.
+EXIT_MARGIN_S = 0.5
+
+
+@services.register('drain')
+class Drain:
+    """Waits for the requests in flight and the handover, then exits.
+
+    The services `membership`, `requests` and `proposals` react to the drain
+    themselves: they tell the peers, refuse new requests and name successors.
+
+    Attributes:
+        requested_at: When the drain was requested, or None.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.requested_at: Instant | None = None
+
+    @on(DrainRequested)
+    def drain_requested(self, event: DrainRequested, now: Instant) -> None:
+        """Starts to wait; a repeated request changes nothing."""
+        if self.requested_at is None:
+            self.requested_at = now
+            self.kernel.decide('drain', in_flight=self.in_flight())
+            self.check(now)
+
+    def check(self, now: Instant) -> None:
+        """Exits if nothing is left to do or the limit is reached."""
+        elapsed = now - (self.requested_at or now)
+        limit = self.kernel.settings.drain_limit - EXIT_MARGIN_S
+        is_over = elapsed >= limit
+        if is_over:
+            self.give_up(now)
+        if is_over or self.is_done(elapsed):
+            self.kernel.decide('exit', elapsed=elapsed)
+            self.kernel.emit(Exit())
+        else:
+            self.kernel.call_at(Instant(now + CHECK_INTERVAL_S), self.check)
+
+    def in_flight(self) -> int:
+        """Returns the number of requests that are not answered."""
+        return len(self.kernel.service('requests').states)
+
+    def is_done(self, elapsed: float) -> bool:
+        """Returns whether the process may end.
+
+        Args:
+            elapsed: Seconds since the drain was requested.
+        """
+        if self.in_flight():
+            return False
+        if elapsed >= HANDOVER_LIMIT_S:
+            return True
+        return not self.kernel.service('ownership').own_places()
+
+    def give_up(self, now: Instant) -> None:
+        """Refuses the requests that the limit leaves unanswered."""
+        requests = self.kernel.service('requests')
+        for state in list(requests.states.values()):
+            requests.give_up(state, Reason.DRAINING, now)
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -115,6 +115,8 @@
         self, event: RequestArrived, now: Instant
     ) -> RequestState | Refusal:
         """Returns the state of a valid request, or its refusal."""
+        if self.kernel.service('membership').draining:
+            return not_run(Reason.DRAINING)
         configuration = self.kernel.service('configuration')
         if not configuration.version:
             return not_run(Reason.NO_CONFIGURATION)
@@ -362,11 +364,15 @@
     def expire(self, state: RequestState, now: Instant) -> None:
         """Ends a request whose deadline has passed."""
         state.timer = None
+        self.give_up(state, Reason.DEADLINE, now)
+
+    def give_up(
+        self, state: RequestState, reason: Reason, now: Instant
+    ) -> None:
+        """Ends a request early with what is known about its run."""
         self.abandon(state, now)
-        outcome = Outcome.NOT_RUN
-        if state.may_have_run:
-            outcome = Outcome.UNKNOWN
-        self.refuse(state, Refusal(outcome, Reason.DEADLINE), now)
+        outcome = Outcome.UNKNOWN if state.may_have_run else Outcome.NOT_RUN
+        self.refuse(state, Refusal(outcome, reason), now)
 
     def abandon(self, state: RequestState, now: Instant) -> None:
         """Stops whatever a request is waiting for."""
@@ -391,8 +397,4 @@
             return
         state.caller_gone = True
         if state.attempt is None or state.idempotent:
-            self.abandon(state, now)
-            outcome = Outcome.NOT_RUN
-            if state.may_have_run:
-                outcome = Outcome.UNKNOWN
-            self.refuse(state, Refusal(outcome, Reason.DEADLINE), now)
+            self.give_up(state, Reason.DEADLINE, now)
