Run the demo's changes through the command line

The demo now applies its configuration, withdraws a key and issues one with the commands that operators use, and starts its processes in parallel.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -19,7 +19,6 @@
 from standins.caller import Plan, Surge
 from standins.deployment import Deployment, Shape, put_json
 from standins.platform import Fault as PlatformFault
-from teaselcove.entities import Entities
 
 SHAPE = Shape(
     hosts=6,
@@ -131,10 +130,9 @@
 
     def withdraw_key(self) -> None:
         """Withdraws the key of an organisation while it calls."""
-        key_id = self.deployment.keys[WITHDRAWN].id
-        self.deployment.apply(Entities(), keys=(key_id,))
+        self.deployment.withdraw_key(WITHDRAWN)
         self.withdrawn_at = time.time()
-        self.say(f'the key {key_id} of {WITHDRAWN} is withdrawn')
+        self.say(f'the key of {WITHDRAWN} is withdrawn')
 
     def kill_host(self) -> None:
         """Kills a host; the list drops it."""
@@ -172,7 +170,10 @@
 
     def change_configuration(self) -> None:
         """Applies a change and waits until it is in force everywhere."""
-        self.deployment.apply(Entities())
+        self.deployment.operate(
+            'keys', 'issue', str(self.deployment.directory), NOISY
+        )
+        self.deployment.apply()
         applied_at = time.time()
         while not all(map(self.deployment.is_ready, self.deployment.hosts)):
             if time.time() - applied_at > FORCE_LIMIT_S:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,6 +2,8 @@
 
 import http.client
 import json
+import subprocess
+import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -10,7 +12,6 @@
 
 from standins.processes import Processes, free_port, wait_until_listening
 from teaselcove import keys
-from teaselcove.configuration import STREAM, ApplyRecord
 from teaselcove.entities import (
     Call,
     Entities,
@@ -26,6 +27,7 @@
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 PLATFORM_ADDRESS = '127.30.0.1'
 HTTP_TIMEOUT_S = 5
+COMMAND_TIMEOUT_S = 20
 OK_STATUS = 200
 READY_TIMEOUT_S = 20
 POLL_S = 0.1
@@ -83,6 +85,7 @@
 
     Attributes:
         platform: Address of the platform's stand-in.
+        directory: The operator's files.
         hosts: Entries of the host list by host id.
         servers: Backend servers by id.
         key_texts: The key of each organisation.
@@ -91,6 +94,7 @@
     def __init__(self, shape: Shape, directory: Path) -> None:
         self.shape = shape
         self.processes = Processes(directory)
+        self.directory = directory / 'operator'
         self.platform = ''
         self.hosts: dict[str, HostEntry] = {}
         self.settings: dict[str, HostSettings] = {}
@@ -106,7 +110,9 @@
         for service, count in self.shape.services.items():
             for number in range(count):
                 self.start_server(service, number)
-        self.apply(self.entities())
+        entities = self.entities()
+        self.declare(**msgspec.structs.asdict(entities))
+        self.apply()
         for number in range(self.shape.hosts):
             self.prepare_host(number)
         self.publish_lists()
@@ -132,7 +138,6 @@
         self.servers[name] = Server(name, f'{address}:{port}', zone)
         self.endpoints[name] = HostState.LIVE
         self.processes.start(name, 'standins.backend', address, str(port), name)
-        wait_until_listening(address, port)
 
     def restart_server(self, name: str) -> None:
         """Starts a backend server again at its address."""
@@ -168,21 +173,40 @@
             tuple(routes),
         )
 
-    def apply(self, put: Entities, **removed: Any) -> None:
-        """Appends a change of the configuration to the log."""
-        record = ApplyRecord(f'demo-{self.version}', self.version, put)
-        if removed:
-            record = msgspec.structs.replace(
-                record, removed=type(record.removed)(**removed)
-            )
-        http_call(
-            'POST',
-            self.platform,
-            f'/streams/{STREAM}',
-            msgspec.json.encode(record),
-        )
+    def apply(self) -> None:
+        """Applies the operator's directory with the command line."""
+        self.operate('apply', str(self.directory), '--log-url', self.log_url)
         self.version += 1
 
+    def operate(self, *arguments: str) -> str:
+        """Runs a command of the product and returns what it prints."""
+        done = subprocess.run(
+            [sys.executable, '-m', 'teaselcove', *arguments],
+            check=True,
+            capture_output=True,
+            timeout=COMMAND_TIMEOUT_S,
+        )
+        return done.stdout.decode()
+
+    @property
+    def log_url(self) -> str:
+        """Base URL of the platform's stand-in."""
+        return f'http://{self.platform}'
+
+    def declare(self, **entities: Any) -> None:
+        """Writes lists of entities to the operator's directory."""
+        self.directory.mkdir(exist_ok=True)
+        for name, listed in entities.items():
+            path = self.directory / f'{name}.jsonc'
+            text = msgspec.json.format(msgspec.json.encode({name: listed}))
+            path.write_bytes(b'\n'.join((b'// Written by the demo.', text)))
+
+    def withdraw_key(self, organisation: str) -> None:
+        """Withdraws the key of an organisation, in force at once."""
+        key_id = self.keys[organisation].id
+        self.operate('keys', 'withdraw', str(self.directory), key_id)
+        self.apply()
+
     def prepare_host(self, number: int) -> None:
         """Chooses addresses and settings of a host."""
         name = f'host-{number}'
@@ -193,8 +217,8 @@
             address,
             free_port(address),
             free_port(address),
-            f'http://{self.platform}',
-            f'http://{self.platform}',
+            self.log_url,
+            self.log_url,
             peer_secret=PEER_SECRET,
         )
         options = self.shape.host_options
@@ -218,8 +242,8 @@
 
     def wait_until_ready(self) -> None:
         """Waits until all hosts have the configuration and grant tokens."""
-        for entry in self.hosts.values():
-            wait_until_listening(*split_address(entry.address))
+        for listener in (*self.servers.values(), *self.hosts.values()):
+            wait_until_listening(*split_address(listener.address))
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
             if all(self.is_ready(name) for name in self.hosts):
