--- a/teaselcove/commands/submission.py
+++ b/teaselcove/commands/submission.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from teaselcove.commands.history import catch_up
+from teaselcove.commands.history import HistoryLostError, catch_up
 from teaselcove.errors import AppendUnknownError, StoreUnavailableError
 from teaselcove.fold import State
 from teaselcove.ids import ApplyId
@@ -80,7 +80,7 @@
             await asyncio.sleep(READ_BACK_INTERVAL_S)
         try:
             await catch_up(client, state)
-        except StoreUnavailableError as error:
+        except (StoreUnavailableError, HistoryLostError) as error:
             problem = str(error)
             continue
         submission = judge(state, record, written)
--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -12,9 +12,13 @@
     membership,
     placement,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 from teaselcove.kernel import Kernel
 
@@ -27,9 +31,13 @@
     membership,
     placement,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 
 __all__ = ('SERVICE_MODULES', 'Kernel')
