--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -15,9 +15,13 @@
     placement,
     proposals,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 from teaselcove.kernel import Kernel
 
@@ -33,9 +37,13 @@
     placement,
     proposals,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 
 __all__ = ('SERVICE_MODULES', 'Kernel')
