Add the escrow limiter and make it the default

A share of each rate per host refuses requests as soon as demand is uneven. Owners now keep a bucket per organisation and debit it before they grant tokens, in fractions where needed. A grant stays outstanding until it is settled or expired, and level plus outstanding grants never exceed the capacity of the owner.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -195,7 +195,11 @@
             if name is None:
                 target, incarnation, event = heapq.heappop(self.queue)[2:]
                 host = self.hosts.get(target)
-                if host and host.entry.incarnation == incarnation:
+                # A message reaches whichever process has the address now.
+                is_message = isinstance(event, ev.PeerMessageReceived)
+                if host and (
+                    is_message or host.entry.incarnation == incarnation
+                ):
                     self.handle(target, event)
             else:
                 self.wake(name)
--- /dev/null
+++ b/teaselcove/escrow.py
@@ -0,0 +1,316 @@
+"""Limiter `escrow`: owners grant tokens that they have debited before."""
+
+import itertools
+from collections import defaultdict
+
+import msgspec
+
+from teaselcove.accounts import Account, HeldGrant, Owner
+from teaselcove.buckets import GRANT_LIFETIME_S, TOLERANCE, OwnerBucket
+from teaselcove.effects import Send
+from teaselcove.entities import Organisation
+from teaselcove.events import PauseDetected
+from teaselcove.grants import AskTokens, GrantTokens, Settlement
+from teaselcove.ids import (
+    HostId,
+    Incarnation,
+    Instant,
+    OrganisationId,
+    RequestId,
+)
+from teaselcove.kernel import Kernel, on
+from teaselcove.owner_choice import OwnerChoice
+from teaselcove.rates import GRANTED, RateState, RateVerdict, limiters
+from teaselcove.settlements import SettlementQueue, settle_delay
+
+# An owner in another zone answers within about 3 ms.
+ASK_TIMEOUT_S = 0.05
+# Unused tokens go back to their owner after this time without a request.
+RETURN_AFTER_S = 0.1
+
+NO_RATE = RateVerdict(RateState.REFUSED)
+UNAVAILABLE = RateVerdict(RateState.UNAVAILABLE)
+
+
+class PendingAsk(msgspec.Struct, frozen=True):
+    """A request for tokens that may still be answered."""
+
+    organisation: OrganisationId
+    owner: Owner
+    needed: float
+    expires: Instant
+
+
+@limiters.register('escrow')
+class EscrowLimiter:
+    """Uses own tokens, then granted ones, then asks the owners in turn.
+
+    Attributes:
+        asks: Requests for tokens whose answer would still be used.
+        requests: Organisation of each waiting request.
+        choice: Chooses which owner to ask.
+        settlements: Ended grants that owners were not told yet.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.accounts: dict[OrganisationId, Account] = defaultdict(Account)
+        self.asks: dict[int, PendingAsk] = {}
+        self.ask_ids = itertools.count(1)
+        self.requests: dict[RequestId, OrganisationId] = {}
+        self.choice = OwnerChoice(kernel)
+        self.settlements = SettlementQueue(kernel)
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation of this process."""
+        return self.kernel.service('membership').incarnation
+
+    def take(
+        self,
+        request_id: RequestId,
+        organisation: OrganisationId,
+        now: Instant,
+    ) -> RateVerdict:
+        """Takes one token, or lets the request wait for an owner."""
+        declared = self.declared(organisation)
+        if declared is None or declared.rate <= 0 or declared.burst < 1:
+            return NO_RATE
+        account = self.accounts[organisation]
+        account.note_demand(now)
+        if not account.waiting and self.admit(organisation, now):
+            return GRANTED
+        account.waiting.append(request_id)
+        self.requests[request_id] = organisation
+        verdict = self.ask_next(declared, account, now)
+        if verdict is None:
+            return RateVerdict(RateState.PENDING)
+        account.waiting.pop()
+        del self.requests[request_id]
+        return verdict
+
+    def cancel(self, request_id: RequestId, now: Instant) -> None:
+        """Forgets a waiting request."""
+        organisation = self.requests.pop(request_id, None)
+        if organisation is not None:
+            self.accounts[organisation].waiting.remove(request_id)
+
+    def declared(self, organisation: OrganisationId) -> Organisation | None:
+        """Returns the organisation of the configuration in force."""
+        return self.kernel.service('configuration').organisation(organisation)
+
+    def bucket(
+        self, organisation: OrganisationId, now: Instant
+    ) -> OwnerBucket | None:
+        """Returns this host's own bucket, if it is an owner."""
+        return self.kernel.service('grants').bucket(organisation, now)
+
+    def admit(self, organisation: OrganisationId, now: Instant) -> bool:
+        """Uses one token if this host has one."""
+        account = self.accounts[organisation]
+        admitted = account.admit(self.bucket(organisation, now), now)
+        if admitted:
+            for grant in account.take_finished():
+                self.settle(organisation, grant, now)
+        return admitted
+
+    def ask_next(
+        self, declared: Organisation, account: Account, now: Instant
+    ) -> RateVerdict | None:
+        """Asks the next owner of a round, unless one is asked already.
+
+        Returns:
+            None while an answer is awaited, else the end of the round.
+        """
+        if account.asking is not None:
+            return None
+        bucket = self.bucket(declared.id, now)
+        owner = None
+        if now >= account.blocked_until:
+            answered = account.answered or bucket is not None
+            owner = self.choice.choose(declared, account.tried, answered, now)
+        if owner is None:
+            return self.end_round(declared, account, bucket, now)
+        self.ask(declared, account, owner, now)
+        return None
+
+    def ask(
+        self,
+        declared: Organisation,
+        account: Account,
+        owner: Owner,
+        now: Instant,
+    ) -> None:
+        """Asks an owner for tokens and plans what follows no answer."""
+        needed = account.missing(self.bucket(declared.id, now), now)
+        ask_id = next(self.ask_ids)
+        account.asking = ask_id
+        expires = Instant(now + GRANT_LIFETIME_S)
+        self.asks[ask_id] = PendingAsk(declared.id, owner, needed, expires)
+        question = AskTokens(
+            declared.id,
+            owner.incarnation,
+            self.incarnation,
+            ask_id,
+            needed,
+            needed + account.prefetch(declared),
+            self.settlements.take(owner),
+        )
+        self.kernel.emit(Send(owner.host, question))
+        self.kernel.call_at(
+            Instant(now + ASK_TIMEOUT_S),
+            lambda later: self.ask_timed_out(ask_id, later),
+        )
+        self.kernel.call_at(expires, lambda _: self.asks.pop(ask_id, None))
+
+    def ask_timed_out(self, ask_id: int, now: Instant) -> None:
+        """Goes on with the next owner; a late answer is still used."""
+        ask = self.asks.get(ask_id)
+        if ask is None:
+            return
+        account = self.accounts[ask.organisation]
+        if account.asking != ask_id:
+            return
+        self.choice.avoid(ask.owner.host, now)
+        account.tried.add(ask.owner.host)
+        account.asking = None
+        self.proceed(ask.organisation, now)
+
+    @on(GrantTokens)
+    def tokens_granted(
+        self, sender: HostId, grant: GrantTokens, now: Instant
+    ) -> None:
+        """Takes over granted tokens and serves the waiting requests.
+
+        Grants to or from another process, repeated ones and those that have
+        expired are void.
+        """
+        ask = self.asks.get(grant.ask_id)
+        expected = ask and (ask.owner, self.incarnation)
+        source = Owner(sender, grant.owner_incarnation)
+        if ask is None or expected != (source, grant.incarnation):
+            return
+        del self.asks[grant.ask_id]
+        self.choice.heard(sender)
+        account = self.accounts[ask.organisation]
+        if grant.amount > 0 and now < ask.expires:
+            account.held.append(
+                HeldGrant(source, grant.ask_id, grant.amount, ask.expires)
+            )
+            account.used_at = now
+            self.plan_return(ask.organisation, now)
+        if account.asking == grant.ask_id:
+            account.asking = None
+            account.answered = account.answered or grant.level >= 0
+            if grant.amount < ask.needed - TOLERANCE:
+                account.tried.add(sender)
+        self.proceed(ask.organisation, now)
+
+    def proceed(self, organisation: OrganisationId, now: Instant) -> None:
+        """Serves waiting requests, then asks on or refuses the others."""
+        account = self.accounts[organisation]
+        while account.waiting and self.admit(organisation, now):
+            account.refused_rounds = 0
+            self.decide(account.waiting.popleft(), GRANTED, now)
+        if not account.waiting:
+            account.end_round()
+            return
+        declared = self.declared(organisation)
+        verdict = UNAVAILABLE
+        if declared is not None:
+            verdict = self.ask_next(declared, account, now)
+        if verdict is not None:
+            self.refuse_all(account, verdict, declared, now)
+
+    def refuse_all(
+        self,
+        account: Account,
+        verdict: RateVerdict,
+        declared: Organisation | None,
+        now: Instant,
+    ) -> None:
+        """Refuses the requests that wait at the end of a round."""
+        while account.waiting:
+            self.decide(account.waiting.popleft(), verdict, now)
+            if declared is not None and verdict.state is RateState.REFUSED:
+                verdict = self.refusal(declared, account, now)
+
+    def decide(
+        self, request_id: RequestId, verdict: RateVerdict, now: Instant
+    ) -> None:
+        """Tells the request its verdict."""
+        self.requests.pop(request_id, None)
+        self.kernel.service('requests').rate_decided(request_id, verdict, now)
+
+    def end_round(
+        self,
+        declared: Organisation,
+        account: Account,
+        bucket: OwnerBucket | None,
+        now: Instant,
+    ) -> RateVerdict:
+        """Returns the verdict when no owner is left to ask."""
+        is_blocked = now < account.blocked_until
+        is_known = account.answered or is_blocked or bucket is not None
+        account.end_round()
+        if not is_known:
+            return UNAVAILABLE
+        if not is_blocked:
+            account.block(
+                account.time_to_token(declared.rate, bucket, now), now
+            )
+        return self.refusal(declared, account, now)
+
+    def refusal(
+        self, declared: Organisation, account: Account, now: Instant
+    ) -> RateVerdict:
+        """Returns a refusal with the time to come back."""
+        bucket = self.bucket(declared.id, now)
+        wait = account.time_to_token(declared.rate, bucket, now)
+        slot = account.retry_slot(declared.rate, wait, now)
+        return RateVerdict(RateState.REFUSED, slot)
+
+    def plan_return(self, organisation: OrganisationId, now: Instant) -> None:
+        """Plans to return tokens that are not used soon."""
+        account = self.accounts[organisation]
+        if not account.return_planned:
+            account.return_planned = True
+            self.kernel.call_at(
+                Instant(now + RETURN_AFTER_S),
+                lambda later: self.return_unused(organisation, later),
+            )
+
+    def return_unused(self, organisation: OrganisationId, now: Instant) -> None:
+        """Returns the tokens of an organisation without recent requests."""
+        account = self.accounts[organisation]
+        account.return_planned = False
+        if account.held_tokens(now) <= 0:
+            return
+        if now - account.used_at < RETURN_AFTER_S - TOLERANCE:
+            self.plan_return(organisation, account.used_at)
+            return
+        for grant in account.held:
+            self.settle(organisation, grant, now)
+        account.held = []
+
+    def settle(
+        self, organisation: OrganisationId, grant: HeldGrant, now: Instant
+    ) -> None:
+        """Tells the owner that a grant ended, at once or with others."""
+        declared = self.declared(organisation)
+        delay = settle_delay(declared) if declared else 0
+        settlement = Settlement(organisation, grant.ask_id, grant.left)
+        self.settlements.add(grant.owner, settlement, delay, now)
+
+    @on(PauseDetected)
+    def pause_detected(self, event: PauseDetected, now: Instant) -> None:
+        """Drops all grants; waiting requests ask again."""
+        self.asks.clear()
+        self.settlements.clear()
+        self.choice.clear()
+        for organisation, account in self.accounts.items():
+            account.held.clear()
+            account.asking = None
+            account.tried.clear()
+            if account.waiting:
+                self.proceed(organisation, now)
--- a/teaselcove/rates.py
+++ b/teaselcove/rates.py
@@ -138,6 +138,8 @@
         self.kernel = kernel
         name = kernel.settings.policies.limiter
         self.limiter: Limiter = limiters.get(name)(kernel)
+        # Subscribes the limiter to the events and messages that it handles.
+        kernel.add_service('limiter', self.limiter)
 
     def take(
         self,
--- a/teaselcove/settings.py
+++ b/teaselcove/settings.py
@@ -26,7 +26,7 @@
 class PolicySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Names of the registry entries in use."""
 
-    limiter: str = 'static'
+    limiter: str = 'escrow'
     balancer: str = 'least-in-flight'
     ejection: str = 'none'
     queue: str = 'fifo'
