--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -1,9 +1,6 @@
 """State machine of each request from arrival to answer."""
 
 import itertools
-from enum import Enum
-
-import msgspec
 
 from teaselcove.admission import Ticket
 from teaselcove.attempts import Attempt
@@ -20,68 +17,18 @@
 from teaselcove.ids import (
     OPEN_ORGANISATION,
     AttemptId,
-    BackendServerId,
     Instant,
-    KeyId,
     OrganisationId,
     RequestId,
-    TimerId,
 )
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.rates import RateState, RateVerdict
+from teaselcove.request_state import Identity, RequestState, Stage
 from teaselcove.retries import NOT_STARTED, RetryVerdict
 
 MS_PER_S = 1000
 
 
-class Stage(Enum):
-    """What a request is waiting for."""
-
-    ARRIVED = 'arrived'
-    RATE = 'rate'
-    CLAIM = 'claim'
-    QUEUED = 'queued'
-    RUNNING = 'running'
-
-
-class Identity(msgspec.Struct, frozen=True):
-    """For whom a request runs; the key id is None on open routes."""
-
-    organisation: OrganisationId
-    key_id: KeyId | None
-
-
-class RequestState(msgspec.Struct):
-    """A request in progress.
-
-    Attributes:
-        deadline: When the caller stops waiting.
-        claimed: Whether a claim was recorded for it.
-        may_have_run: Whether an attempt may have started at a server.
-        caller_gone: Whether nobody waits for the answer.
-        tried: Servers that failed it.
-    """
-
-    arrival: RequestArrived
-    route: Route
-    identity: Identity
-    idempotent: bool
-    deadline: Instant
-    stage: Stage = Stage.ARRIVED
-    claimed: bool = False
-    may_have_run: bool = False
-    caller_gone: bool = False
-    attempts: int = 0
-    attempt: Attempt | None = None
-    tried: frozenset[BackendServerId] = frozenset()
-    timer: TimerId | None = None
-
-    @property
-    def request_id(self) -> RequestId:
-        """The id of the request."""
-        return self.arrival.request_id
-
-
 @services.register('requests')
 class Requests:
     """Takes each request through the services in order."""
