--- a/teaselcove/commands/main.py
+++ b/teaselcove/commands/main.py
@@ -1,14 +1,13 @@
 """Entry point of the `teaselcove` command line."""
 
-import sys
 from pathlib import Path
 
 import fire
 
+from teaselcove.commands import changes, keyring, status
+from teaselcove.commands.output import ExitCode, stop
 from teaselcove.errors import FieldError
 
-INVALID_EXIT_CODE = 2
-
 
 def serve(settings: str) -> None:
     """Runs a host of the fleet.
@@ -18,13 +17,23 @@
     """
     from teaselcove import daemon  # noqa: WPS433
 
-    daemon.serve(Path(settings))
+    daemon.serve(Path(str(settings)))
+
+
+COMMANDS = {
+    'validate': changes.validate,
+    'plan': changes.plan,
+    'apply': changes.apply,
+    'rollback': changes.rollback,
+    'status': status.status,
+    'keys': {'issue': keyring.issue, 'withdraw': keyring.withdraw},
+    'serve': serve,
+}
 
 
 def main() -> None:
     """Runs the command that the arguments name."""
     try:
-        fire.Fire({'serve': serve})
+        fire.Fire(COMMANDS, name='teaselcove')
     except FieldError as error:
-        sys.stderr.write(f'{error}\n')
-        sys.exit(INVALID_EXIT_CODE)
+        stop(ExitCode.INVALID, str(error))
--- /dev/null
+++ b/tests/test_fold.py
@@ -0,0 +1,118 @@
+"""Tests of the fold of the configuration stream."""
+
+import msgspec
+import pytest
+
+from teaselcove.entities import Entities, Organisation
+from teaselcove.fold import Fate, State, digest_of, fold
+from teaselcove.plan import difference
+from teaselcove.records import ApplyRecord, Removed, encode_record
+from tests.support import ENTITIES
+
+OTHER = Entities(organisations=(Organisation('other', rate=1.5, burst=1),))
+TWICE = Entities(organisations=OTHER.organisations * 2)
+
+
+def folded(*records: ApplyRecord | bytes) -> tuple[State, list[Fate]]:
+    """Returns the state and the fate of each record."""
+    state = State()
+    fates = []
+    for offset, record in enumerate(records):
+        payload = record
+        if isinstance(record, ApplyRecord):
+            payload = encode_record(record)
+        fates.append(fold(state, offset, payload))
+    return state, fates
+
+
+FIRST = ApplyRecord('first', 0, ENTITIES, digest=digest_of(ENTITIES))
+
+
+class TestFold:
+    """The first record on the matching base wins, as a whole."""
+
+    def test_content(self) -> None:
+        """Guards against rows that do not give the exact entities back."""
+        state, fates = folded(FIRST)
+        assert fates == [Fate.WON]
+        assert state.tables.entities() == ENTITIES
+        assert state.digest == digest_of(ENTITIES)
+
+    @pytest.mark.parametrize(
+        ('record', 'fate'),
+        [
+            (ApplyRecord('late', 0, OTHER), Fate.LOST),
+            (ApplyRecord('early', 2, OTHER), Fate.LOST),
+            (ApplyRecord('first', 1, OTHER), Fate.REPEATED),
+            (ApplyRecord('wrong', 1, OTHER, digest=1), Fate.DAMAGED),
+            (ApplyRecord('twice', 1, TWICE), Fate.DAMAGED),
+            (
+                ApplyRecord('both', 1, OTHER, Removed(('other',))),
+                Fate.DAMAGED,
+            ),
+            (
+                msgspec.structs.replace(
+                    ApplyRecord('later', 1, OTHER), format=2
+                ),
+                Fate.UNKNOWN,
+            ),
+            (b'{"apply_id": "cut", "base": 1, "pu', Fate.DAMAGED),
+            (b'\xff\x00', Fate.DAMAGED),
+            (b'[]', Fate.DAMAGED),
+            (
+                encode_record(ApplyRecord('big', 1, OTHER)).replace(
+                    b'"burst":1', b'"burst":99999999999999999999999'
+                ),
+                Fate.DAMAGED,
+            ),
+        ],
+    )
+    def test_skipped(self, record: ApplyRecord | bytes, fate: Fate) -> None:
+        """Guards against a skipped record that changes anything."""
+        before, _ = folded(FIRST)
+        state, fates = folded(FIRST, record)
+        assert fates[1] is fate
+        assert state.tables.entities() == ENTITIES
+        assert (state.version, state.digest) == (1, before.digest)
+        assert state.next_offset == 2
+        assert getattr(state.skipped, fate.value) == 1
+
+    def test_difference(self) -> None:
+        """Guards against a change whose digest differs from its content."""
+        change = difference(ENTITIES, OTHER)
+        state, fates = folded(FIRST, change.record('second', 1, 'me'))
+        assert fates == [Fate.WON, Fate.WON]
+        assert state.tables.entities() == OTHER
+        assert state.winner_of(2).operator == 'me'
+
+
+class TestDifference:
+    """The plan names each change."""
+
+    def test_lines(self) -> None:
+        """Guards against a plan that hides a change."""
+        job = ENTITIES.services[0]
+        moved = msgspec.structs.replace(job.servers[0], address='127.0.0.9:80')
+        service = msgspec.structs.replace(
+            job, floor=1, servers=(moved, *job.servers[1:3])
+        )
+        faster = msgspec.structs.replace(ENTITIES.organisations[0], rate=20)
+        new = msgspec.structs.replace(
+            ENTITIES, organisations=(faster,), services=(service,), keys=()
+        )
+        lines = '\n'.join(difference(ENTITIES, new).lines)
+        assert '~ organisation village: rate 10 -> 20' in lines
+        assert 'village: withdrawn' in lines
+        assert '~ service job: floor 2 -> 1' in lines
+        assert '- server job-4' in lines
+        assert 'server job-1 at 127.0.0.1:80' in lines
+        assert difference(new, new).is_empty
+
+    def test_order_of_servers(self) -> None:
+        """Guards against a change that gives no line and is dropped."""
+        job = ENTITIES.services[0]
+        turned = msgspec.structs.replace(
+            job, servers=tuple(reversed(job.servers))
+        )
+        new = msgspec.structs.replace(ENTITIES, services=(turned,))
+        assert not difference(ENTITIES, new).is_empty
