Serve requests while a draining host still listens

Cause: the core refused requests at once, but the daemon listens for one more second so that callers with an older placement answer are served. Change: the core refuses from 2 s after the drain request and does not exit before the 1 s of grace; the daemon takes the grace from the module drain.

--- a/teaselcove/daemon.py
+++ b/teaselcove/daemon.py
@@ -17,6 +17,7 @@
 from teaselcove import events as ev
 from teaselcove import logs
 from teaselcove import settings as host_settings
+from teaselcove.drain import GRACE_S
 from teaselcove.driver import Driver
 from teaselcove.frontend import Frontend
 from teaselcove.ids import OrganisationId
@@ -29,9 +30,6 @@
 log = logging.getLogger(__name__)
 decision_log = logging.getLogger('teaselcove.decisions')
 
-# Time between leaving the answers and closing the listener, in which callers
-# with an older answer still find the host.
-DRAIN_GRACE_S = 1
 LISTEN_BACKLOG = 512
 KEEPALIVE_S = 75
 SEED_BITS = 64
@@ -175,7 +173,7 @@
         self.draining = True
         self.driver.feed(ev.DrainRequested())
         loop = asyncio.get_running_loop()
-        loop.call_later(DRAIN_GRACE_S, self.stop_listening)
+        loop.call_later(GRACE_S, self.stop_listening)
         loop.call_later(self.settings.drain_limit, self.exiting.set)
 
     def stop_listening(self) -> None:
--- a/teaselcove/drain.py
+++ b/teaselcove/drain.py
@@ -7,6 +7,12 @@
 from teaselcove.kernel import Kernel, on, services
 
 CHECK_INTERVAL_S = 0.05
+# The daemon listens for this long after the drain request: callers with an
+# older answer still find the host, and are served.
+GRACE_S = 1
+# Requests that arrive later than this were not accepted before the listener
+# closed, even if their body took a second to arrive.
+REFUSE_AFTER_S = 2
 # Time for the record that names successors and for the last messages about
 # claims. A successor takes over without them too, only later.
 HANDOVER_LIMIT_S = 3
@@ -19,7 +25,7 @@
     """Waits for the requests in flight and the handover, then exits.
 
     The services `membership`, `requests` and `proposals` react to the drain
-    themselves: they tell the peers, refuse new requests and name successors.
+    themselves: they tell the peers, refuse late requests and name successors.
 
     Attributes:
         requested_at: When the drain was requested, or None.
@@ -50,6 +56,11 @@
         else:
             self.kernel.call_at(Instant(now + CHECK_INTERVAL_S), self.check)
 
+    def refuses(self, now: Instant) -> bool:
+        """Returns whether new requests are refused."""
+        since = self.requested_at
+        return since is not None and now - since >= REFUSE_AFTER_S
+
     def in_flight(self) -> int:
         """Returns the number of requests that are not answered."""
         return len(self.kernel.service('requests').states)
@@ -60,7 +71,7 @@
         Args:
             elapsed: Seconds since the drain was requested.
         """
-        if self.in_flight():
+        if self.in_flight() or elapsed < GRACE_S:
             return False
         if elapsed >= HANDOVER_LIMIT_S:
             return True
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -62,7 +62,7 @@
         self, event: RequestArrived, now: Instant
     ) -> RequestState | Refusal:
         """Returns the state of a valid request, or its refusal."""
-        if self.kernel.service('membership').draining:
+        if self.kernel.service('drain').refuses(now):
             return not_run(Reason.DRAINING)
         configuration = self.kernel.service('configuration')
         if not configuration.version:
