--- /dev/null
+++ b/teaselcove/fleet.py
@@ -0,0 +1,320 @@
+"""Several decision cores in virtual time, with fakes at their interfaces.
+
+The fakes are the log, the host list and the links between hosts. Faults are
+methods: cut a link one way, pause or crash a host, take the log away.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from teaselcove import effects as fx
+from teaselcove import events as ev
+from teaselcove import messages
+from teaselcove.core import Kernel
+from teaselcove.ids import HostId, Instant, Offset, StreamName
+from teaselcove.settings import HostSettings
+
+LOG_DELAY_S = 0.01
+LIST_LAG_S = 2
+SAME_ZONE_DELAY_S = 0.0002
+OTHER_ZONE_DELAY_S = 0.001
+
+
+class FakeLog:
+    """Append-only streams in memory.
+
+    Attributes:
+        available: Whether reads and appends succeed.
+        lose_replies: Whether appends take effect but their reply is lost.
+    """
+
+    def __init__(self) -> None:
+        self.streams: dict[StreamName, list[bytes]] = defaultdict(list)
+        self.first: Counter[StreamName] = Counter()
+        self.available = True
+        self.lose_replies = False
+
+    def append(self, stream: StreamName, payload: bytes) -> Offset | None:
+        """Appends a record; returns its offset, or None if unknown."""
+        if not self.available:
+            return None
+        records = self.streams[stream]
+        records.append(payload)
+        offset = Offset(self.first[stream] + len(records) - 1)
+        return None if self.lose_replies else offset
+
+    def read(
+        self, stream: StreamName, offset: Offset
+    ) -> ev.RecordsRead | ev.StoreFailed:
+        """Returns the records from an offset."""
+        if not self.available:
+            return ev.StoreFailed(stream)
+        first = self.first[stream]
+        records = self.streams[stream]
+        start = max(offset, first)
+        found = tuple(enumerate(records[start - first :], start))
+        return ev.RecordsRead(
+            stream, offset, first, first + len(records), found
+        )
+
+    def truncate(self, stream: StreamName, first: Offset) -> None:
+        """Drops the records before an offset, as retention does."""
+        dropped = first - self.first[stream]
+        self.streams[stream] = self.streams[stream][dropped:]
+        self.first[stream] = first
+
+
+class FleetHost(msgspec.Struct):
+    """A host of the fleet.
+
+    Attributes:
+        paused_until: When a frozen process goes on.
+        backlog: Events that wait while it is frozen.
+        wake_at: Time of the entry in the fleet's heap of timers.
+    """
+
+    kernel: Kernel
+    entry: ev.HostEntry
+    paused_until: float = 0
+    backlog: list[Any] = []
+    wake_at: float | None = None
+
+
+class Fleet:
+    """Hosts, links and fakes that share one virtual clock.
+
+    Attributes:
+        now: Present virtual time in seconds.
+        outcomes: Answer and refusal effects by request id.
+        decisions: All decisions as (time, host, effect), if kept.
+        sent: Messages and bytes by host.
+        cuts: Links cut one way, as (sender, recipient).
+        loss: Share of messages that are lost.
+        repeat: Share of messages that arrive twice.
+        on_dial: Called with host, effect and time for each attempt.
+        on_effect: Called with host, effect and time for each effect that
+            the fleet itself does not carry out.
+        zone_delay: One-way delay between availability zones in seconds.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.now = Instant(0)
+        self.log = FakeLog()
+        self.hosts: dict[HostId, FleetHost] = {}
+        self.listed: list[tuple[float, dict[HostId, ev.HostEntry]]] = []
+        self.queue: list[tuple[float, int, HostId, int, Any]] = []
+        self.sequence = itertools.count()
+        self.outcomes: dict[str, list[Any]] = defaultdict(list)
+        self.decisions: list[tuple[float, HostId, fx.LogDecision]] = []
+        self.keep_decisions = False
+        self.sent: Counter[HostId] = Counter()
+        self.sent_bytes: Counter[HostId] = Counter()
+        self.cuts: set[tuple[HostId, HostId]] = set()
+        self.loss = float(0)
+        self.repeat = float(0)
+        self.extra_delay = float(0)
+        self.on_dial: Callable[[HostId, fx.Dial, Instant], None] | None = None
+        self.on_effect: Callable[[HostId, Any, Instant], None] | None = None
+        self.zone_delay = OTHER_ZONE_DELAY_S
+        self.wakes: list[tuple[float, HostId]] = []
+
+    def add_host(self, settings: HostSettings) -> Kernel:
+        """Starts a host with a new incarnation."""
+        kernel = Kernel(settings, seed=self.random.getrandbits(32))
+        incarnation = kernel.service('membership').incarnation
+        entry = ev.HostEntry(
+            settings.host,
+            incarnation,
+            settings.zone,
+            f'{settings.address}:{settings.port}',
+            f'{settings.address}:{settings.peer_port}',
+        )
+        self.hosts[settings.host] = FleetHost(kernel, entry, 0, [])
+        self.publish_list()
+        self.carry_out(settings.host, kernel.start(self.now))
+        return kernel
+
+    def publish_list(self) -> None:
+        """Makes the present hosts visible in the list after its lag."""
+        entries = {name: host.entry for name, host in self.hosts.items()}
+        lag = LIST_LAG_S if self.listed else 0
+        self.listed.append((self.now + lag, entries))
+
+    def visible_list(self) -> tuple[ev.HostEntry, ...]:
+        """Returns the list as hosts see it now."""
+        entries: dict[HostId, ev.HostEntry] = {}
+        for visible_at, listed in self.listed:
+            if visible_at <= self.now:
+                entries = listed
+        return tuple(entries[name] for name in sorted(entries))
+
+    def crash(self, name: HostId) -> None:
+        """Ends a host at once and drops it from the list after its lag."""
+        self.hosts.pop(name)
+        self.publish_list()
+
+    def pause(self, name: HostId, duration: float) -> None:
+        """Freezes a host for some seconds."""
+        self.hosts[name].paused_until = self.now + duration
+        self.schedule(name)
+
+    def cut(self, sender: HostId, recipient: HostId) -> None:
+        """Drops all messages from one host to another."""
+        self.cuts.add((sender, recipient))
+
+    def deliver(self, name: HostId, event: Any, delay: float = 0) -> None:
+        """Gives an event to a host after a delay."""
+        host = self.hosts.get(name)
+        incarnation = host.entry.incarnation if host else 0
+        heapq.heappush(
+            self.queue,
+            (
+                self.now + delay,
+                next(self.sequence),
+                name,
+                incarnation,
+                event,
+            ),
+        )
+
+    def call_at(self, at: float, callback: Callable[[Instant], None]) -> None:
+        """Runs a callback of an experiment at a time."""
+        entry = (at, next(self.sequence), HostId(''), 0, callback)
+        heapq.heappush(self.queue, entry)
+
+    def handle(self, name: HostId, event: Any) -> None:
+        """Gives an event to a host now."""
+        host = self.hosts.get(name)
+        if host is None:
+            return
+        if host.paused_until > self.now:
+            host.backlog.append(event)
+            return
+        self.carry_out(name, host.kernel.handle(event, self.now))
+        self.schedule(name)
+
+    def schedule(self, name: HostId) -> None:
+        """Enters the next timer of a host in the heap if it has changed."""
+        host = self.hosts.get(name)
+        if host is None:
+            return
+        deadline: float | None = host.kernel.next_deadline()
+        if host.paused_until > self.now:
+            deadline = host.paused_until
+        elif host.backlog:
+            deadline = self.now
+        if deadline is not None and deadline != host.wake_at:
+            heapq.heappush(self.wakes, (deadline, name))
+        host.wake_at = deadline
+
+    def run_until(self, end: float) -> None:
+        """Lets virtual time pass up to a time."""
+        for known in tuple(self.hosts):
+            self.schedule(known)
+        while True:
+            at, name = self.next_step()
+            if at > end:
+                break
+            self.now = Instant(max(self.now, at))
+            if name is None:
+                self.run_next()
+            else:
+                self.wake(name)
+        self.now = Instant(max(self.now, end))
+
+    def run_next(self) -> None:
+        """Delivers the next event, or runs the next callback."""
+        target, incarnation, event = heapq.heappop(self.queue)[2:]
+        if not target:
+            event(self.now)
+            return
+        host = self.hosts.get(target)
+        if host and host.entry.incarnation == incarnation:
+            self.handle(target, event)
+
+    def next_step(self) -> tuple[float, HostId | None]:
+        """Returns when the next event or timer is due, and whose timer."""
+        at = self.queue[0][0] if self.queue else float('inf')
+        while self.wakes:
+            deadline, name = self.wakes[0]
+            host = self.hosts.get(name)
+            if host is not None and host.wake_at == deadline:
+                return (deadline, name) if deadline < at else (at, None)
+            heapq.heappop(self.wakes)
+        return at, None
+
+    def wake(self, name: HostId) -> None:
+        """Runs due timers and the events that waited during a pause."""
+        host = self.hosts[name]
+        backlog = host.backlog
+        host.backlog = []
+        host.wake_at = None
+        for event in (*backlog, ev.TimerDue()):
+            self.handle(name, event)
+
+    def carry_out(self, name: HostId, emitted: list[Any]) -> None:
+        """Carries out the effects of a host."""
+        for effect in emitted:
+            self.carry_out_one(name, effect)
+
+    def carry_out_one(self, name: HostId, effect: Any) -> None:
+        """Carries out one effect."""
+        match effect:
+            case fx.Send():
+                self.send(name, effect)
+            case fx.Append():
+                offset = self.log.append(effect.stream, effect.payload)
+                done = ev.AppendFinished(effect.append_id, offset)
+                self.deliver(name, done, LOG_DELAY_S)
+            case fx.ReadLog():
+                read = self.log.read(effect.stream, effect.offset)
+                self.deliver(name, read, LOG_DELAY_S)
+            case fx.ReadHosts():
+                listed = ev.HostsListed(self.visible_list())
+                self.deliver(name, listed, LOG_DELAY_S)
+            case fx.Dial() if self.on_dial is not None:
+                self.on_dial(name, effect, self.now)
+            case _:
+                self.record(name, effect)
+                if self.on_effect is not None:
+                    self.on_effect(name, effect, self.now)
+
+    def record(self, name: HostId, effect: Any) -> None:
+        """Keeps the effects that tests look at."""
+        if isinstance(effect, fx.Answer | fx.Refuse):
+            self.outcomes[effect.request_id].append(effect)
+        elif isinstance(effect, fx.LogDecision) and self.keep_decisions:
+            self.decisions.append((self.now, name, effect))
+        elif isinstance(effect, fx.Exit):
+            self.crash(name)
+
+    def send(self, name: HostId, effect: fx.Send) -> None:
+        """Sends a message over a link that may lose or repeat it."""
+        body = messages.encode(effect.message)
+        self.sent[name] += 1
+        self.sent_bytes[name] += len(body)
+        lost = self.random.random() < self.loss
+        if lost or (name, effect.host) in self.cuts:
+            return
+        sender = self.hosts[name].entry
+        received = ev.PeerMessageReceived(
+            name, sender.incarnation, messages.decode(body)
+        )
+        self.deliver(effect.host, received, self.link_delay(sender, effect))
+        if self.random.random() < self.repeat:
+            later = self.link_delay(sender, effect) + self.random.random()
+            self.deliver(effect.host, received, later)
+
+    def link_delay(self, sender: ev.HostEntry, effect: fx.Send) -> float:
+        """Returns the delay of a message in seconds."""
+        recipient = self.hosts.get(effect.host)
+        same = recipient and recipient.entry.zone == sender.zone
+        delay = SAME_ZONE_DELAY_S if same else self.zone_delay
+        return delay + self.random.random() * self.extra_delay
