Queue fairly between organisations and limit attempts when servers shed

With one organisation at 5 times its rate, calls were shed three times and then refused; its hosts filled the queues of all servers, and the FIFO queue of a shared host was filled by it too.

Requests now wait in a start-time fair queue with a bound for each organisation and in total, are refused early when the expected wait exceeds their deadline, and wait and try again after sheds. A refusal after an attempt that may have run says "unknown" even when the queue is full.

--- a/teaselcove/deployments.py
+++ b/teaselcove/deployments.py
@@ -22,7 +22,7 @@
 # Shares of the calls of eight organisations of uneven size.
 SHARES = (0.3, 0.22, 0.16, 0.12, 0.08, 0.06, 0.04, 0.02)
 # Organisations declare somewhat more than they usually send.
-RATE_MARGIN = 1.5
+RATE_MARGIN = 1.25
 BURST_S = 0.5
 MIN_BURST = 8
 MIN_RATE = 1
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -1,9 +1,6 @@
 """State machine of each request from arrival to answer."""
 
 import itertools
-from enum import Enum
-
-import msgspec
 
 from teaselcove.admission import Ticket
 from teaselcove.attempts import Attempt
@@ -20,68 +17,18 @@
 from teaselcove.ids import (
     OPEN_ORGANISATION,
     AttemptId,
-    BackendServerId,
     Instant,
-    KeyId,
     OrganisationId,
     RequestId,
-    TimerId,
 )
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.rates import RateState, RateVerdict
+from teaselcove.request_state import Identity, RequestState, Stage
 from teaselcove.retries import NOT_STARTED, RetryVerdict
 
 MS_PER_S = 1000
 
 
-class Stage(Enum):
-    """What a request is waiting for."""
-
-    ARRIVED = 'arrived'
-    RATE = 'rate'
-    CLAIM = 'claim'
-    QUEUED = 'queued'
-    RUNNING = 'running'
-
-
-class Identity(msgspec.Struct, frozen=True):
-    """For whom a request runs; the key id is None on open routes."""
-
-    organisation: OrganisationId
-    key_id: KeyId | None
-
-
-class RequestState(msgspec.Struct):
-    """A request in progress.
-
-    Attributes:
-        deadline: When the caller stops waiting.
-        claimed: Whether a claim was recorded for it.
-        may_have_run: Whether an attempt may have started at a server.
-        caller_gone: Whether nobody waits for the answer.
-        tried: Servers that failed it.
-    """
-
-    arrival: RequestArrived
-    route: Route
-    identity: Identity
-    idempotent: bool
-    deadline: Instant
-    stage: Stage = Stage.ARRIVED
-    claimed: bool = False
-    may_have_run: bool = False
-    caller_gone: bool = False
-    attempts: int = 0
-    attempt: Attempt | None = None
-    tried: frozenset[BackendServerId] = frozenset()
-    timer: TimerId | None = None
-
-    @property
-    def request_id(self) -> RequestId:
-        """The id of the request."""
-        return self.arrival.request_id
-
-
 @services.register('requests')
 class Requests:
     """Takes each request through the services in order."""
@@ -199,8 +146,10 @@
         elif claim.refusal is not None:
             self.refuse(state, claim.refusal, now)
 
-    def enqueue(self, state: RequestState, now: Instant) -> None:
-        """Queues a request for a slot of its service."""
+    def enqueue(
+        self, state: RequestState, now: Instant, pause: float = 0
+    ) -> None:
+        """Queues a request for a slot of its service, after a pause."""
         state.stage = Stage.QUEUED
         organisation = self.kernel.service('configuration').organisation(
             state.identity.organisation
@@ -212,6 +161,8 @@
             organisation.weight if organisation else 1,
             state.deadline,
             state.tried,
+            state.attempts > 0,
+            Instant(now + pause),
         )
         refusal = self.kernel.service('admission').offer(ticket, now)
         if refusal is not None:
@@ -282,7 +233,7 @@
         state = self.states.get(attempt.request_id)
         if state is not None and state.attempt is attempt:
             self.settle(state, event, now)
-        self.kernel.service('admission').dispatch(attempt.service, now)
+        self.kernel.service('admission').finished(attempt, event, now)
 
     def settle(
         self, state: RequestState, event: AttemptFinished, now: Instant
@@ -290,10 +241,17 @@
         """Decides what follows the end of a request's attempt."""
         attempt = state.attempt
         state.attempt = None
-        if event.result not in NOT_STARTED:
+        if event.result in NOT_STARTED:
+            state.not_started += 1
+        else:
             state.may_have_run = True
         verdict = self.kernel.service('retries').decide(
-            attempt, event.result, event.status, state.attempts, now
+            attempt,
+            event.result,
+            event.status,
+            state.attempts,
+            state.not_started,
+            now,
         )
         if verdict is RetryVerdict.RETRY and not state.caller_gone:
             self.kernel.decide(
@@ -304,12 +262,19 @@
                 attempts=state.attempts,
             )
             state.tried = state.tried | {attempt.server}
-            self.enqueue(state, now)
+            pause = self.kernel.service('retries').pause(state.not_started)
+            self.enqueue(state, now, pause)
         elif event.result is AttemptResult.COMPLETE:
             self.answer(state, event, now)
         else:
             self.refuse(state, self.final_refusal(state), now)
 
+    def refuse_queued(
+        self, request_id: RequestId, refusal: Refusal, now: Instant
+    ) -> None:
+        """Ends a request that waits in a queue."""
+        self.refuse(self.states[request_id], refusal, now)
+
     def final_refusal(self, state: RequestState) -> Refusal:
         """Returns the refusal after the last attempt."""
         if state.may_have_run:
@@ -330,7 +295,14 @@
     def refuse(
         self, state: RequestState, refusal: Refusal, now: Instant
     ) -> None:
-        """Ends a request with a refusal."""
+        """Ends a request with a refusal.
+
+        A refusal after an attempt that may have run never says "not run".
+        """
+        if state.may_have_run and refusal.outcome is Outcome.NOT_RUN:
+            refusal = Refusal(
+                Outcome.UNKNOWN, refusal.reason, refusal.retry_after
+            )
         self.drop(state, now)
         if state.claimed:
             self.kernel.service('claims').finish(
--- a/teaselcove/settings.py
+++ b/teaselcove/settings.py
@@ -29,7 +29,7 @@
     limiter: str = 'static'
     balancer: str = 'least-in-flight'
     ejection: str = 'none'
-    queue: str = 'fifo'
+    queue: str = 'weighted-fair'
     placement: str = 'rendezvous'
 
 
