--- /dev/null
+++ b/teaselcove/acceptance.py
@@ -0,0 +1,64 @@
+"""Checks that a request has a route and a key that may use it."""
+
+from teaselcove.entities import Route
+from teaselcove.errors import Reason, Refusal, not_run
+from teaselcove.events import RequestArrived
+from teaselcove.ids import OPEN_ORGANISATION, Instant
+from teaselcove.kernel import Kernel, services
+from teaselcove.request_state import Identity, RequestState
+
+MS_PER_S = 1000
+
+
+@services.register('acceptance')
+class Acceptance:
+    """Decides whether and for whom a request may run."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    def accept(
+        self, event: RequestArrived, now: Instant
+    ) -> RequestState | Refusal:
+        """Returns the state of a valid request, or its refusal."""
+        if self.kernel.service('drain').refuses(now):
+            return not_run(Reason.DRAINING)
+        configuration = self.kernel.service('configuration')
+        if not configuration.version:
+            return not_run(Reason.NO_CONFIGURATION)
+        route = configuration.route_for(event.path)
+        if route is None:
+            return not_run(Reason.NO_ROUTE)
+        identity = self.identify(event, route, now)
+        if isinstance(identity, Refusal):
+            return identity
+        if self.kernel.service('retries').is_crashing(event.body_digest, now):
+            return not_run(Reason.CRASHING_REQUEST)
+        timeout = route.timeout_ms / MS_PER_S
+        if event.timeout is not None:
+            timeout = min(timeout, event.timeout)
+        return RequestState(
+            event,
+            route,
+            identity,
+            route.is_idempotent(event.method, event.path),
+            Instant(now + timeout),
+        )
+
+    def identify(
+        self, event: RequestArrived, route: Route, now: Instant
+    ) -> Identity | Refusal:
+        """Returns for whom a request runs, or why it may not."""
+        if event.key is None and route.open:
+            return Identity(OPEN_ORGANISATION, None)
+        if not self.kernel.service('configuration').may_serve(now):
+            return not_run(Reason.ISOLATED)
+        key = None
+        if event.key is not None:
+            key = self.kernel.service('keys').check(event.key)
+        if key is None:
+            return not_run(Reason.BAD_KEY)
+        allowed = route.organisations
+        if allowed and key.organisation not in allowed:
+            return not_run(Reason.NOT_ALLOWED)
+        return Identity(key.organisation, key.id)
--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -4,11 +4,13 @@
 """
 
 from teaselcove import (
+    acceptance,
     admission,
     claims,
     configuration,
     drain,
     escrow,
+    fair_queue,
     grants,
     health,
     keys,
@@ -28,12 +30,14 @@
 from teaselcove.kernel import Kernel
 
 SERVICE_MODULES = (
+    acceptance,
     admission,
     claims,
     configuration,
     drain,
     escrow,
     grants,
+    fair_queue,
     health,
     keys,
     membership,
--- a/teaselcove/request_state.py
+++ b/teaselcove/request_state.py
@@ -42,6 +42,8 @@
         claimed: Whether a claim was recorded for it.
         may_have_run: Whether an attempt may have started at a server.
         caller_gone: Whether nobody waits for the answer.
+        attempts: Attempts so far.
+        not_started: Attempts that provably did not start at a server.
         tried: Servers that failed it.
     """
 
@@ -55,6 +57,7 @@
     may_have_run: bool = False
     caller_gone: bool = False
     attempts: int = 0
+    not_started: int = 0
     attempt: Attempt | None = None
     tried: frozenset[BackendServerId] = frozenset()
     timer: TimerId | None = None
