--- a/teaselcove/commands/main.py
+++ b/teaselcove/commands/main.py
@@ -4,7 +4,7 @@
 
 import fire
 
-from teaselcove.commands import changes, keyring, status
+from teaselcove.commands import changes, keyring, measure, status
 from teaselcove.commands.output import ExitCode, stop
 from teaselcove.errors import FieldError
 
@@ -27,6 +27,7 @@
     'rollback': changes.rollback,
     'status': status.status,
     'keys': {'issue': keyring.issue, 'withdraw': keyring.withdraw},
+    'measure': measure.run_measure,
     'serve': serve,
 }
 
