--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 SOURCES := teaselcove tests standins
 
-.PHONY: venv lint format unit test demo bench
+.PHONY: venv lint format unit test demo bench example
 
 $(VENV)/installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -32,3 +32,8 @@
 
 bench: venv
 	$(PYTHON) -m standins.bench
+
+# Runs an example with stand-ins until it is interrupted: brunnwerk or zhuyin.
+NAME ?= brunnwerk
+example: venv
+	$(PYTHON) -m standins.example $(NAME)
--- a/standins/account.py
+++ b/standins/account.py
@@ -20,7 +20,11 @@
     """Figures of a run; the last line of the demo.
 
     Attributes:
-        detection_seconds: Time from each fault to the ejection.
+        detection_seconds: Time from the fault to the first ejection.
+        worst_served: Organisation and its share of answers, without the one
+            whose key is withdrawn and the one that overruns its rate.
+        wrongful_refusals: Calls of each organisation that were refused for
+            its rate although one ideal bucket would have admitted them.
         promises_broken: One sentence for each broken promise.
     """
 
@@ -28,7 +32,7 @@
     detection_seconds: float | None
     false_ejections: int
     worst_served: tuple[str, float]
-    wrongful_refusals: int
+    wrongful_refusals: dict[str, int]
     rate_overruns: int
     repeated_runs: int
     withdrawal_seconds: float
@@ -75,12 +79,9 @@
     for line in sorted(lines, key=lambda found: found.sent_at):
         level = min(burst, level + (line.sent_at - last) * rate)
         last = line.sent_at
-        refused = line.outcomes and line.outcomes[-1][1] == RATE_REASON
         if level >= 1:
-            if refused:
-                wrongful += 1
-            else:
-                level -= 1
+            level -= 1
+            wrongful += line.reason == RATE_REASON
     return wrongful
 
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -80,6 +80,11 @@
         """Outcome of the last try."""
         return self.outcomes[-1][0] if self.outcomes else 'none'
 
+    @property
+    def reason(self) -> str:
+        """Reason of the last try's refusal."""
+        return self.outcomes[-1][1] if self.outcomes else 'none'
+
 
 class Caller:
     """Sends calls at a rate and keeps what became of them."""
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -19,6 +19,7 @@
 from standins.caller import Plan, Surge
 from standins.deployment import Deployment, Shape, put_json
 from standins.platform import Fault as PlatformFault
+from standins.processes import ignore_signals
 
 SHAPE = Shape(
     hosts=6,
@@ -248,14 +249,16 @@
         )
         return round(max(0, last - self.withdrawn_at), 3)
 
-    def rate_figures(self, lines: list[account.Line]) -> tuple[int, int]:
+    def rate_figures(
+        self, lines: list[account.Line]
+    ) -> tuple[int, dict[str, int]]:
         """Returns organisations over their rate and wrongful refusals."""
         overruns = 0
-        wrongful = 0
+        wrongful = {}
         for name, mine in account.by_organisation(lines).items():
             rate, burst = SHAPE.organisations[name]
             overruns += account.largest_overrun(mine, rate, burst) > 0
-            wrongful += account.wrongful_refusals(mine, rate, burst)
+            wrongful[name] = account.wrongful_refusals(mine, rate, burst)
         return overruns, wrongful
 
     def ejections(self) -> tuple[float | None, int]:
@@ -280,6 +283,7 @@
     except KeyboardInterrupt:
         code = 130
     finally:
+        ignore_signals()
         demo.deployment.stop()
     if code:
         sys.stderr.write(f'logs are kept in {directory}\n')
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,5 +1,6 @@
 """Starts and ends the processes of the demo, the bench and the tests."""
 
+import signal
 import socket
 import subprocess
 import sys
@@ -43,6 +44,12 @@
     raise StartError(f'nothing listens on {address}:{port}')
 
 
+def ignore_signals() -> None:
+    """Lets a second interruption not disturb the end of the processes."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
 class Processes:
     """Child processes that end together.
 
--- a/teaselcove/proxy.py
+++ b/teaselcove/proxy.py
@@ -46,6 +46,7 @@
 )
 # The key is never sent to a backend server.
 NOT_FORWARDED = HOP_BY_HOP | {'authorization', 'host'}
+NOT_RETURNED = HOP_BY_HOP | {'date'}
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -74,11 +75,14 @@
 
 
 def returned(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Returns the headers of an answer that the caller gets."""
+    """Returns the headers of an answer that the caller gets.
+
+    The host's HTTP server adds a date of its own.
+    """
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in HOP_BY_HOP
+        if name.lower() not in NOT_RETURNED
         and not name.lower().startswith(OWN_PREFIX)
     )
 
