Keep small bursts whole and space out denied requests for tokens

A burst of 4 split over three owners lost 5% of the requests at 0.7 of the rate: an owner whose only token is there earns nothing. Bursts below 20 now stay at one owner.

--- a/standins/rate_load.py
+++ b/standins/rate_load.py
@@ -64,11 +64,24 @@
         return max(0, self.highest - self.organisation.burst)
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that has no verdict yet.
+
+    Attributes:
+        at: When it arrived.
+        is_inside: Whether one ideal bucket over all hosts admits it.
+    """
+
+    at: float
+    organisation: OrganisationId
+    is_inside: bool
+
+
 class Judge:
     """Counts the verdicts of all hosts and judges them.
 
     Attributes:
-        wrongful: Refusals although inside rate and burst.
+        wrongful: Refusals of requests that one ideal bucket admits.
         verdicts: Number of verdicts by state.
         waits: Seconds from arrival to each verdict.
     """
@@ -76,7 +89,7 @@
     def __init__(self, organisations: tuple[Organisation, ...]) -> None:
         self.meters = {one.id: Meter(one) for one in organisations}
         self.ideal = {one.id: Meter(one) for one in organisations}
-        self.arrived: dict[RequestId, tuple[float, OrganisationId]] = {}
+        self.arrived: dict[RequestId, Arrival] = {}
         self.verdicts: Counter[RateState] = Counter()
         self.wrongful: Counter[OrganisationId] = Counter()
         self.ideal_admitted = 0
@@ -84,11 +97,13 @@
 
     def arrive(self, event: TokenWanted, now: float) -> None:
         """Notes a request and what the ideal bucket does with it."""
-        self.arrived[event.request_id] = (now, event.organisation)
         ideal = self.ideal[event.organisation]
-        if ideal.has_room(now):
+        has_room = ideal.has_room(now)
+        if has_room:
             ideal.admit(now)
             self.ideal_admitted += 1
+        arrival = Arrival(now, event.organisation, has_room)
+        self.arrived[event.request_id] = arrival
 
     def decide(
         self, request_id: RequestId, verdict: RateVerdict, now: float
@@ -96,14 +111,13 @@
         """Judges a verdict when it takes effect."""
         if verdict.state is RateState.PENDING:
             return
-        arrived_at, organisation = self.arrived.pop(request_id)
+        arrival = self.arrived.pop(request_id)
         self.verdicts[verdict.state] += 1
-        self.waits.append(now - arrived_at)
-        meter = self.meters[organisation]
+        self.waits.append(now - arrival.at)
         if verdict.state is RateState.GRANTED:
-            meter.admit(now)
-        elif meter.has_room(now):
-            self.wrongful[organisation] += 1
+            self.meters[arrival.organisation].admit(now)
+        elif arrival.is_inside:
+            self.wrongful[arrival.organisation] += 1
 
     @property
     def overrun(self) -> float:
--- a/teaselcove/accounts.py
+++ b/teaselcove/accounts.py
@@ -18,11 +18,6 @@
 PREFETCH_SHARE = 0.1
 # Requests refused at the same time are told times up to this limit.
 RETRY_LIMIT_S = 10.0
-# After a refusal owners are not asked for the time in which the rate earns
-# the missing tokens; with refusals in a row this lasts longer.
-FIRST_BLOCK_S = 0.005
-LONGEST_BLOCK_S = 0.1
-MAX_DOUBLINGS = 5
 
 
 class Owner(msgspec.Struct, frozen=True):
@@ -55,8 +50,7 @@
         asking: Number of the request for tokens under way, or None.
         tried: Owners that had too few tokens or did not answer this round.
         answered: Whether an owner with authority answered this round.
-        blocked_until: No owner is asked before, after all had too few.
-        refused_rounds: Rounds in a row that ended in a refusal.
+        blocked: Until when an owner that had too few is not asked.
         used_at: When a token was last used.
     """
 
@@ -66,8 +60,7 @@
         self.asking: int | None = None
         self.tried: set[HostId] = set()
         self.answered = False
-        self.blocked_until = Instant(0)
-        self.refused_rounds = 0
+        self.blocked: dict[HostId, Instant] = {}
         self.used_at = Instant(0)
         self.return_planned = False
         self.demand = float(0)
@@ -105,15 +98,16 @@
     def time_to_token(
         self, rate: float, bucket: OwnerBucket | None, now: Instant
     ) -> float:
-        """Returns the seconds in which the rate earns what is missing."""
-        return max(0, 1 - self.tokens(bucket, now)) / rate
-
-    def block(self, wait: float, now: Instant) -> None:
-        """Lets some time pass before owners are asked again."""
-        doublings = min(self.refused_rounds, MAX_DOUBLINGS)
-        self.refused_rounds += 1
-        pause = min(LONGEST_BLOCK_S, FIRST_BLOCK_S * 2**doublings)
-        self.blocked_until = Instant(now + max(pause, wait))
+        """Returns in how many seconds a token is likely."""
+        earned = now + max(0, 1 - self.tokens(bucket, now)) / rate
+        return max(earned, min(self.blocked.values(), default=earned)) - now
+
+    def blocked_hosts(self, now: Instant) -> set[HostId]:
+        """Returns the owners that said to ask again later."""
+        self.blocked = {
+            host: until for host, until in self.blocked.items() if until > now
+        }
+        return set(self.blocked)
 
     def end_round(self) -> None:
         """Lets the next request begin with the first owner again."""
--- a/teaselcove/buckets.py
+++ b/teaselcove/buckets.py
@@ -1,5 +1,7 @@
 """Token bucket of an owner, with the grants that it has given out."""
 
+import math
+
 import msgspec
 
 from teaselcove.ids import HostId, Incarnation, Instant
@@ -11,6 +13,9 @@
 DRIFT_MARGIN_S = 0.1
 # Rounding errors of sums of token amounts stay below this.
 TOLERANCE = 1e-9
+# Denied hosts ask again after this time or when there is a token, whichever
+# is later, even if many wait before them.
+LONGEST_WAIT_S = 0.5
 
 
 class GrantKey(msgspec.Struct, frozen=True):
@@ -57,6 +62,7 @@
         capacity: Sum of the capacities of the places held.
         level: Tokens that are neither spent nor granted.
         outstanding: Tokens granted and neither settled nor expired.
+        next_slot: When the host that was denied last should ask again.
     """
 
     def __init__(self, now: Instant) -> None:
@@ -67,6 +73,7 @@
         self.updated = now
         self.places: frozenset[tuple[int, int]] = frozenset()
         self.grants: dict[GrantKey, Grant] = {}
+        self.next_slot = now
 
     def update(self, seats: list[SeatShare], now: Instant) -> None:
         """Takes over the places held now, then earns tokens.
@@ -138,14 +145,40 @@
             return repeated.amount
         spare = min(want, self.level - self.capacity / 2)
         amount = min(self.level, max(needed, spare, 0))
-        if amount < TOLERANCE:
-            return 0
+        return self.debit(key, amount, now) if amount > TOLERANCE else 0
+
+    def grant_whole(
+        self, key: GrantKey, needed: float, want: float, now: Instant
+    ) -> float:
+        """Grants like `grant`, but no fraction of the needed tokens.
+
+        A host that cannot get the rest elsewhere has no use for a fraction.
+        """
+        whole = math.floor(self.level + TOLERANCE)
+        if key not in self.grants and whole < needed:
+            return self.grant(key, whole, whole, now)
+        return self.grant(key, needed, want, now)
+
+    def debit(self, key: GrantKey, amount: float, now: Instant) -> float:
+        """Moves tokens from the level to the outstanding grants."""
         self.level -= amount
         self.outstanding += amount
         expires = Instant(now + GRANT_LIFETIME_S + DRIFT_MARGIN_S)
         self.grants[key] = Grant(amount, expires)
         return amount
 
+    def slot(self, now: Instant) -> float:
+        """Returns in how many seconds a denied host should ask again.
+
+        Denied hosts get times one token apart, so that under overload about
+        one host asks for each token.
+        """
+        earned = now + max(0, 1 - self.level) / self.rate
+        self.next_slot = Instant(max(earned, self.next_slot + 1 / self.rate))
+        longest = max(LONGEST_WAIT_S, earned - now)
+        self.next_slot = Instant(min(self.next_slot, now + longest))
+        return self.next_slot - now
+
     def settle(self, key: GrantKey, returned: float, now: Instant) -> None:
         """Ends a grant; takes back the tokens that were not used."""
         self.advance(now)
--- a/teaselcove/escrow.py
+++ b/teaselcove/escrow.py
@@ -13,7 +13,6 @@
 from teaselcove.grants import AskTokens, GrantTokens, Settlement
 from teaselcove.ids import (
     HostId,
-    Incarnation,
     Instant,
     OrganisationId,
     RequestId,
@@ -22,6 +21,7 @@
 from teaselcove.owner_choice import OwnerChoice
 from teaselcove.rates import GRANTED, RateState, RateVerdict, limiters
 from teaselcove.settlements import SettlementQueue, settle_delay
+from teaselcove.shares import holder_count
 
 # An owner in another zone answers within about 3 ms.
 ASK_TIMEOUT_S = 0.05
@@ -61,11 +61,6 @@
         self.choice = OwnerChoice(kernel)
         self.settlements = SettlementQueue(kernel)
 
-    @property
-    def incarnation(self) -> Incarnation:
-        """The incarnation of this process."""
-        return self.kernel.service('membership').incarnation
-
     def take(
         self,
         request_id: RequestId,
@@ -125,12 +120,15 @@
         if account.asking is not None:
             return None
         bucket = self.bucket(declared.id, now)
-        owner = None
-        if now >= account.blocked_until:
-            answered = account.answered or bucket is not None
-            owner = self.choice.choose(declared, account.tried, answered, now)
+        blocked = account.blocked_hosts(now)
+        account.answered = (
+            account.answered or bool(blocked) or bucket is not None
+        )
+        owner = self.choice.choose(
+            declared, account.tried | blocked, account.answered, now
+        )
         if owner is None:
-            return self.end_round(declared, account, bucket, now)
+            return self.end_round(declared, account, now)
         self.ask(declared, account, owner, now)
         return None
 
@@ -150,10 +148,11 @@
         question = AskTokens(
             declared.id,
             owner.incarnation,
-            self.incarnation,
+            self.kernel.service('membership').incarnation,
             ask_id,
             needed,
             needed + account.prefetch(declared),
+            holder_count(declared) > 1,
             self.settlements.take(owner),
         )
         self.kernel.emit(Send(owner.host, question))
@@ -186,7 +185,8 @@
         expired are void.
         """
         ask = self.asks.get(grant.ask_id)
-        expected = ask and (ask.owner, self.incarnation)
+        own = self.kernel.service('membership').incarnation
+        expected = ask and (ask.owner, own)
         source = Owner(sender, grant.owner_incarnation)
         if ask is None or expected != (source, grant.incarnation):
             return
@@ -201,16 +201,17 @@
             self.plan_return(ask.organisation, now)
         if account.asking == grant.ask_id:
             account.asking = None
-            account.answered = account.answered or grant.level >= 0
+            account.answered = account.answered or grant.wait >= 0
             if grant.amount < ask.needed - TOLERANCE:
                 account.tried.add(sender)
+            if grant.wait > 0:
+                account.blocked[sender] = Instant(now + grant.wait)
         self.proceed(ask.organisation, now)
 
     def proceed(self, organisation: OrganisationId, now: Instant) -> None:
         """Serves waiting requests, then asks on or refuses the others."""
         account = self.accounts[organisation]
         while account.waiting and self.admit(organisation, now):
-            account.refused_rounds = 0
             self.decide(account.waiting.popleft(), GRANTED, now)
         if not account.waiting:
             account.end_round()
@@ -243,23 +244,13 @@
         self.kernel.service('requests').rate_decided(request_id, verdict, now)
 
     def end_round(
-        self,
-        declared: Organisation,
-        account: Account,
-        bucket: OwnerBucket | None,
-        now: Instant,
+        self, declared: Organisation, account: Account, now: Instant
     ) -> RateVerdict:
         """Returns the verdict when no owner is left to ask."""
-        is_blocked = now < account.blocked_until
-        is_known = account.answered or is_blocked or bucket is not None
+        answered = account.answered
         account.end_round()
-        if not is_known:
-            return UNAVAILABLE
-        if not is_blocked:
-            account.block(
-                account.time_to_token(declared.rate, bucket, now), now
-            )
-        return self.refusal(declared, account, now)
+        self.return_all(declared.id, now)
+        return self.refusal(declared, account, now) if answered else UNAVAILABLE
 
     def refusal(
         self, declared: Organisation, account: Account, now: Instant
@@ -289,6 +280,11 @@
         if now - account.used_at < RETURN_AFTER_S - TOLERANCE:
             self.plan_return(organisation, account.used_at)
             return
+        self.return_all(organisation, now)
+
+    def return_all(self, organisation: OrganisationId, now: Instant) -> None:
+        """Returns the tokens of an organisation."""
+        account = self.accounts[organisation]
         for grant in account.held:
             self.settle(organisation, grant, now)
         account.held = []
--- a/teaselcove/grants.py
+++ b/teaselcove/grants.py
@@ -5,6 +5,7 @@
 from teaselcove.buckets import (
     DRIFT_MARGIN_S,
     GRANT_LIFETIME_S,
+    TOLERANCE,
     GrantKey,
     OwnerBucket,
     SeatShare,
@@ -48,6 +49,7 @@
         ask_id: Rises with each request of a process.
         needed: Tokens for requests that wait.
         want: The needed tokens and those for requests to come.
+        accepts_part: Whether a fraction of the needed tokens is of use.
         settlements: Earlier grants of this owner that ended.
     """
 
@@ -57,6 +59,7 @@
     ask_id: int
     needed: float
     want: float
+    accepts_part: bool
     settlements: tuple[Settlement, ...] = ()
 
 
@@ -66,14 +69,15 @@
 
     Attributes:
         amount: Tokens granted; may be less than asked for, or a fraction.
-        level: Tokens that remain, or -1 if the host may not act as owner.
+        wait: Seconds until it is worthwhile to ask this owner again, or -1
+            if the host may not act as owner.
     """
 
     owner_incarnation: Incarnation
     incarnation: Incarnation
     ask_id: int
     amount: float
-    level: float
+    wait: float
 
 
 @message('rate-settle')
@@ -162,7 +166,8 @@
     ) -> Share:
         """Returns the share, with a rate that no other owner may still use.
 
-        A change to or from a burst below three shifts rate between owners.
+        A change between a burst that is split and one that stays whole
+        shifts rate between owners.
         """
         seen = self.seen.get(declared.id, declared)
         earlier = self.earlier.get(declared.id, [])
@@ -191,13 +196,16 @@
             return
         self.settle(sender, ask.incarnation, ask.settlements, now)
         bucket = self.bucket(ask.organisation, now)
-        amount, level = float(0), NO_AUTHORITY
+        amount, wait = float(0), NO_AUTHORITY
         if bucket is not None:
             key = GrantKey(sender, ask.incarnation, ask.ask_id)
-            amount = bucket.grant(key, ask.needed, ask.want, now)
-            level = bucket.level
+            grant = bucket.grant if ask.accepts_part else bucket.grant_whole
+            amount = grant(key, ask.needed, ask.want, now)
+            wait = float(0)
+            if amount < ask.needed - TOLERANCE:
+                wait = bucket.slot(now)
         answer = GrantTokens(
-            self.incarnation, ask.incarnation, ask.ask_id, amount, level
+            self.incarnation, ask.incarnation, ask.ask_id, amount, wait
         )
         self.kernel.emit(Send(sender, answer))
 
--- a/teaselcove/shares.py
+++ b/teaselcove/shares.py
@@ -5,6 +5,12 @@
 from teaselcove.entities import Organisation
 from teaselcove.slices import OWNER_COUNT, slice_of
 
+# A smaller burst stays whole, at one of the owners. Split in three it wastes
+# the rate of an owner whose few tokens are all there: with a burst of 4, 5%
+# of the requests at 0.7 of the rate were refused wrongfully, against 1% when
+# it stays whole, and with a burst of 20 the split refuses none.
+SPLIT_BURST = 20
+
 
 class Share(msgspec.Struct, frozen=True):
     """What one owner may spend.
@@ -18,17 +24,22 @@
     capacity: int = 0
 
 
+def holder_count(organisation: Organisation) -> int:
+    """Returns over how many owners the burst is split."""
+    return OWNER_COUNT if organisation.burst >= SPLIT_BURST else 1
+
+
 def share_of(organisation: Organisation, index: int) -> Share:
     """Returns the share of an owner by its index.
 
-    The burst is split in whole tokens. Owners with a token share the rate
-    equally: a split in proportion to the tokens would shift rate between
-    owners when the burst changes, and owners that do not have the same
-    configuration version yet would together exceed the rate.
+    The burst is split in whole tokens and the rate in equal parts. In
+    proportion to the tokens, each change of the burst would shift rate
+    between owners, and owners that do not have the same configuration
+    version yet would together exceed the rate.
     """
     place = (index + slice_of(organisation.id)) % OWNER_COUNT
-    capacity = (organisation.burst + OWNER_COUNT - 1 - place) // OWNER_COUNT
-    if capacity < 1:
+    holders = holder_count(organisation)
+    if place >= holders or organisation.burst < 1:
         return Share()
-    holders = min(organisation.burst, OWNER_COUNT)
+    capacity = (organisation.burst + holders - 1 - place) // holders
     return Share(organisation.rate / holders, capacity)
