Claim calls that may not be repeated at two of three owners

Cause: a resend at another host, or after a crash, ran a booking again.

A claim older than 30 s is not dialled. The places of the ownership table say whether an earlier process had authority for them.

--- /dev/null
+++ b/teaselcove/claim_rounds.py
@@ -0,0 +1,353 @@
+"""Claims by votes of two of the three owners of a slice."""
+
+import functools
+import hashlib
+
+import msgspec
+
+from teaselcove.claim_messages import (
+    ClaimEnd,
+    ClaimId,
+    ClaimKey,
+    ClaimRequest,
+    ClaimVote,
+    Verdict,
+    send,
+)
+from teaselcove.claim_store import answer_bytes
+from teaselcove.claims import ClaimResult, ClaimState, claim_policies
+from teaselcove.errors import Outcome, Reason, Refusal, not_run
+from teaselcove.events import StoredAnswer
+from teaselcove.ids import (
+    HostId,
+    Incarnation,
+    Instant,
+    OrganisationId,
+    RequestId,
+    SliceId,
+    TimerId,
+)
+from teaselcove.kernel import Kernel, on, services
+from teaselcove.slices import Seat
+
+MAJORITY = 2
+KEY_DIGEST_BYTES = 16
+MAX_STORED_ANSWER_BYTES = 16 * 1024
+# A vote takes 2 ms between zones; a lost message costs a round.
+ROUND_S = 0.1
+# Claimants that split the votes release them and try again after a random
+# pause, so that one of them wins; the pause doubles up to the highest.
+FIRST_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.16
+# A resend waits this long for a call that runs; the default timeout of a
+# route is 2 s, so the caller gets the reason and not a bare deadline.
+JOIN_LIMIT_S = 1
+RETRY_AFTER_S = 1
+# A claim must not be dialled when the owners may be about to forget it. The
+# claim is counted from before the owners record it.
+DIAL_LIMIT_S = 30
+
+
+class Round(msgspec.Struct):
+    """One vote of the owners.
+
+    Attributes:
+        seats: The owners that are asked.
+        term: Term of the slice that the votes must have.
+        granted: Places that voted for the claim.
+        replied: Places that voted in any way.
+    """
+
+    claim_id: ClaimId
+    started_at: Instant
+    seats: tuple[Seat, ...]
+    term: int
+    granted: set[int] = msgspec.field(default_factory=set)
+    replied: set[int] = msgspec.field(default_factory=set)
+
+
+class Claim(msgspec.Struct):
+    """A request that has or wants a claim.
+
+    Attributes:
+        since: When the claim was first wanted.
+        current: The round in progress or won, or None between rounds.
+        timer: Ends the round or the pause between rounds.
+        is_granted: Whether a round was won.
+        may_have_run: Whether an owner knows of another claim for the key.
+        is_lost: Whether the outcome of the other claim is not known.
+    """
+
+    request_id: RequestId
+    slice_id: SliceId
+    key: ClaimKey
+    request_digest: bytes
+    since: Instant
+    pause: float = FIRST_PAUSE_S
+    current: Round | None = None
+    timer: TimerId | None = None
+    is_granted: bool = False
+    may_have_run: bool = False
+    is_lost: bool = False
+
+
+@claim_policies.register('majority')
+class MajorityClaims:
+    """Grants a claim after votes of two owners in the same term."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.claims: dict[RequestId, Claim] = {}
+        self.by_number: dict[int, Claim] = {}
+
+    def acquire(
+        self,
+        request_id: RequestId,
+        organisation: OrganisationId,
+        idempotency_key: str,
+        body_digest: bytes,
+        now: Instant,
+    ) -> ClaimResult:
+        """Starts to claim a call; the decision always comes later."""
+        digest = hashlib.blake2b(
+            idempotency_key.encode(), digest_size=KEY_DIGEST_BYTES
+        ).digest()
+        claim = Claim(
+            request_id,
+            self.kernel.service('ownership').slice_of(organisation),
+            ClaimKey(organisation, digest),
+            body_digest,
+            now,
+        )
+        self.claims[request_id] = claim
+        self.start_round(claim, now)
+        return ClaimResult(ClaimState.PENDING)
+
+    def start_round(self, claim: Claim, now: Instant) -> None:
+        """Asks all owners for their votes under a new claim id."""
+        seats = self.kernel.service('ownership').owners(claim.slice_id)
+        term = self.kernel.service('claim_sync').term(claim.slice_id)
+        claim_id = self.kernel.service('claim_endings').begin()
+        claim.current = Round(claim_id, now, seats, term)
+        self.by_number[claim_id.number] = claim
+        owners = {seat.host: seat.incarnation for seat in seats}
+        for host, incarnation in sorted(owners.items()):
+            self.ask(claim, claim.current, host, incarnation, now)
+        self.set_timer(claim, now + ROUND_S, self.end_round)
+
+    def ask(
+        self,
+        claim: Claim,
+        current: Round,
+        host: HostId,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> None:
+        """Asks one owner for its vote."""
+        request = ClaimRequest(
+            claim.slice_id,
+            current.term,
+            incarnation,
+            current.claim_id,
+            claim.key,
+            claim.request_digest,
+        )
+        send(self.kernel, host, request, now)
+
+    def set_timer(self, claim: Claim, at: float, step: object) -> None:
+        """Sets what follows unless the claim is decided before."""
+        if claim.timer is not None:
+            self.kernel.cancel(claim.timer)
+        claim.timer = self.kernel.call_at(
+            Instant(at), functools.partial(self.run_timer, claim, step)
+        )
+
+    def run_timer(self, claim: Claim, step: object, now: Instant) -> None:
+        """Runs what the timer is for."""
+        claim.timer = None
+        step(claim, now)
+
+    def voted(self, sender: HostId, vote: ClaimVote, now: Instant) -> None:
+        """Counts a vote of the present round."""
+        claim = self.by_number.get(vote.claim_id.number)
+        if claim is None or claim.is_granted or claim.current is None:
+            return
+        current = claim.current
+        indices = self.places(current, sender, vote)
+        if vote.claim_id != current.claim_id or not indices:
+            return
+        current.replied |= indices
+        if vote.verdict is Verdict.GRANTED and vote.term == current.term:
+            current.granted |= indices & set(vote.indices)
+        if len(current.granted) >= MAJORITY:
+            self.grant(claim, now)
+        else:
+            self.note_verdict(claim, vote, now)
+
+    def places(
+        self, current: Round, sender: HostId, vote: ClaimVote
+    ) -> set[int]:
+        """Returns the places of a voter in a round."""
+        return {
+            seat.index
+            for seat in current.seats
+            if seat.host == sender and seat.incarnation == vote.owner
+        }
+
+    def note_verdict(self, claim: Claim, vote: ClaimVote, now: Instant) -> None:
+        """Ends the claim or the round if the votes decide it."""
+        if vote.verdict is Verdict.CONFLICT:
+            self.refuse(claim, not_run(Reason.CLAIM_CONFLICT), now)
+            return
+        if vote.verdict is Verdict.DONE and vote.answer is not None:
+            result = ClaimResult(ClaimState.RECALLED, vote.answer)
+            self.decide(claim, result, now)
+            return
+        if vote.verdict in {Verdict.DONE, Verdict.LOST}:
+            claim.is_lost = True
+        if vote.verdict is not Verdict.GRANTED:
+            claim.may_have_run |= vote.verdict is not Verdict.NOT_VOTING
+        if claim.current and len(claim.current.replied) == len(
+            claim.current.seats
+        ):
+            self.end_round(claim, now)
+
+    def grant(self, claim: Claim, now: Instant) -> None:
+        """Lets the request run under the claim."""
+        claim.is_granted = True
+        if claim.timer is not None:
+            self.kernel.cancel(claim.timer)
+        self.tell(claim, ClaimResult(ClaimState.GRANTED), now)
+
+    def end_round(self, claim: Claim, now: Instant) -> None:
+        """Releases the votes of a lost round; tries again or gives up."""
+        self.end_current(claim, Outcome.NOT_RUN, None, now)
+        if claim.is_lost:
+            refusal = Refusal(Outcome.UNKNOWN, Reason.CLAIM_UNKNOWN)
+            self.refuse(claim, refusal, now)
+        elif now - claim.since < JOIN_LIMIT_S:
+            spread = self.kernel.random.uniform(1, 2)
+            self.set_timer(claim, now + claim.pause * spread, self.start_round)
+            claim.pause = min(MAX_PAUSE_S, claim.pause * 2)
+        elif claim.may_have_run:
+            refusal = Refusal(
+                Outcome.UNKNOWN, Reason.CLAIM_RUNNING, RETRY_AFTER_S
+            )
+            self.refuse(claim, refusal, now)
+        else:
+            refusal = not_run(Reason.CLAIM_UNAVAILABLE, RETRY_AFTER_S)
+            self.refuse(claim, refusal, now)
+
+    def refuse(self, claim: Claim, refusal: Refusal, now: Instant) -> None:
+        """Ends a claim that is not granted."""
+        result = ClaimResult(ClaimState.REFUSED, refusal=refusal)
+        self.decide(claim, result, now)
+
+    def decide(self, claim: Claim, result: ClaimResult, now: Instant) -> None:
+        """Forgets a claim and tells its request what was decided."""
+        self.drop(claim, Outcome.NOT_RUN, None, now)
+        self.tell(claim, result, now)
+
+    def tell(self, claim: Claim, result: ClaimResult, now: Instant) -> None:
+        """Tells a request the decision about its claim."""
+        self.kernel.decide(
+            'claim',
+            request=claim.request_id,
+            organisation=claim.key.organisation,
+            state=result.state.value,
+            waited=now - claim.since,
+        )
+        self.kernel.service('requests').claim_decided(
+            claim.request_id, result, now
+        )
+
+    def cancel(self, request_id: RequestId, now: Instant) -> bool:
+        """Gives up a pending claim; returns whether the key may have run."""
+        claim = self.claims.get(request_id)
+        if claim is None:
+            return False
+        self.drop(claim, Outcome.NOT_RUN, None, now)
+        return claim.may_have_run
+
+    def drop(
+        self,
+        claim: Claim,
+        outcome: Outcome,
+        answer: StoredAnswer | None,
+        now: Instant,
+    ) -> None:
+        """Ends a claim at the owners and forgets it."""
+        self.claims.pop(claim.request_id, None)
+        if claim.timer is not None:
+            self.kernel.cancel(claim.timer)
+            claim.timer = None
+        self.end_current(claim, outcome, answer, now)
+
+    def end_current(
+        self,
+        claim: Claim,
+        outcome: Outcome,
+        answer: StoredAnswer | None,
+        now: Instant,
+    ) -> None:
+        """Tells the owners how the claim of a round ended.
+
+        The owners of now are told beside those that were asked: a new owner
+        may have copied the claim.
+        """
+        current = claim.current
+        if current is None:
+            return
+        claim.current = None
+        self.by_number.pop(current.claim_id.number)
+        end = ClaimEnd(
+            claim.slice_id,
+            current.claim_id,
+            claim.key,
+            claim.request_digest,
+            outcome,
+            answer,
+        )
+        present = self.kernel.service('ownership').owners(claim.slice_id)
+        hosts = {seat.host for seat in (*current.seats, *present)}
+        self.kernel.service('claim_endings').end(end, hosts, now)
+
+    def may_dial(self, request_id: RequestId, now: Instant) -> bool:
+        """Returns whether a granted claim still covers a new attempt."""
+        claim = self.claims.get(request_id)
+        if claim is None or claim.current is None:
+            return False
+        return now - claim.current.started_at <= DIAL_LIMIT_S
+
+    def finish(
+        self,
+        request_id: RequestId,
+        outcome: Outcome,
+        answer: StoredAnswer | None,
+        now: Instant,
+    ) -> None:
+        """Records how a claimed call ended, with an answer that is small."""
+        claim = self.claims.get(request_id)
+        if claim is not None:
+            if answer_bytes(answer) > MAX_STORED_ANSWER_BYTES:
+                answer = None
+            self.drop(claim, outcome, answer, now)
+
+    def is_settled(self) -> bool:
+        """Returns whether the owners know how all claims ended."""
+        return not self.kernel.service('claim_endings').unconfirmed
+
+
+@services.register('claim_votes')
+class ClaimVotes:
+    """Gives votes to the claim policy if it counts any."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    @on(ClaimVote)
+    def voted(self, sender: HostId, vote: ClaimVote, now: Instant) -> None:
+        """Gives a vote to the policy."""
+        policy = self.kernel.service('claims').policy
+        if isinstance(policy, MajorityClaims):
+            policy.voted(sender, vote, now)
--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -5,6 +5,10 @@
 
 from teaselcove import (
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
     drain,
@@ -23,6 +27,10 @@
 
 SERVICE_MODULES = (
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
     drain,
--- a/teaselcove/drain.py
+++ b/teaselcove/drain.py
@@ -75,7 +75,9 @@
             return False
         if elapsed >= HANDOVER_LIMIT_S:
             return True
-        return not self.kernel.service('ownership').own_places()
+        if self.kernel.service('ownership').own_places():
+            return False
+        return self.kernel.service('claims').is_settled()
 
     def give_up(self, now: Instant) -> None:
         """Refuses the requests that the limit leaves unanswered."""
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -171,8 +171,9 @@
     ) -> None:
         """Starts an attempt, unless the key was withdrawn meanwhile."""
         state = self.states[request_id]
-        if not self.is_key_in_force(state):
-            self.refuse(state, not_run(Reason.BAD_KEY), now)
+        refusal = self.dispatch_refusal(state, now)
+        if refusal is not None:
+            self.refuse(state, refusal, now)
             return
         attempt = Attempt(
             AttemptId(next(self.attempt_ids)),
@@ -208,12 +209,18 @@
             )
         )
 
-    def is_key_in_force(self, state: RequestState) -> bool:
-        """Returns whether the request's key is still valid."""
+    def dispatch_refusal(
+        self, state: RequestState, now: Instant
+    ) -> Refusal | None:
+        """Returns why a request may not run any more, or None."""
         key_id = state.identity.key_id
-        if key_id is None:
-            return True
-        return self.kernel.service('configuration').key(key_id) is not None
+        configuration = self.kernel.service('configuration')
+        if key_id is not None and configuration.key(key_id) is None:
+            return not_run(Reason.BAD_KEY)
+        claims = self.kernel.service('claims')
+        if state.claimed and not claims.may_dial(state.request_id, now):
+            return not_run(Reason.CLAIM_UNAVAILABLE, 1)
+        return None
 
     @on(AttemptFinished)
     def attempt_finished(self, event: AttemptFinished, now: Instant) -> None:
@@ -328,6 +335,9 @@
         """Stops whatever a request is waiting for."""
         if state.stage is Stage.RATE:
             self.kernel.service('rates').cancel(state.request_id, now)
+        if state.stage is Stage.CLAIM:
+            claims = self.kernel.service('claims')
+            state.may_have_run |= claims.cancel(state.request_id, now)
         if state.stage is Stage.QUEUED:
             self.kernel.service('admission').cancel(state.request_id, now)
         if state.attempt is not None:
--- a/teaselcove/settings.py
+++ b/teaselcove/settings.py
@@ -31,6 +31,7 @@
     ejection: str = 'none'
     queue: str = 'fifo'
     placement: str = 'rendezvous'
+    claims: str = 'majority'
 
 
 class HostSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/teaselcove/slices.py
+++ b/teaselcove/slices.py
@@ -22,12 +22,14 @@
         incarnation: The process that owns, or 0 while the host has not named
             its process; nobody has authority then.
         epoch: Number of times that this owner was named; 0 if never.
+        succeeds: Whether an earlier process had authority for the place.
     """
 
     index: int
     host: HostId = NO_HOST
     incarnation: Incarnation = NO_INCARNATION
     epoch: int = 0
+    succeeds: bool = False
 
 
 class SeatKey(msgspec.Struct, frozen=True, order=True):
@@ -113,8 +115,13 @@
     def apply(self, change: SeatChange) -> None:
         """Names an owner."""
         place = SeatKey(change.slice_id, change.index)
-        self.by_host[self.seats[place].host].discard(place)
+        previous = self.seats[place]
+        self.by_host[previous.host].discard(place)
         self.by_host[change.host].add(place)
         self.seats[place] = Seat(
-            change.index, change.host, change.incarnation, change.base + 1
+            change.index,
+            change.host,
+            change.incarnation,
+            change.base + 1,
+            previous.succeeds or previous.incarnation != NO_INCARNATION,
         )
