--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -4,6 +4,7 @@
 """
 
 from teaselcove import (
+    acceptance,
     admission,
     claim_endings,
     claim_owner,
@@ -12,6 +13,9 @@
     claims,
     configuration,
     drain,
+    escrow,
+    fair_queue,
+    grants,
     health,
     keys,
     membership,
@@ -19,13 +23,18 @@
     placement,
     proposals,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 from teaselcove.kernel import Kernel
 
 SERVICE_MODULES = (
+    acceptance,
     admission,
     claim_endings,
     claim_owner,
@@ -34,6 +43,9 @@
     claims,
     configuration,
     drain,
+    escrow,
+    grants,
+    fair_queue,
     health,
     keys,
     membership,
@@ -41,9 +53,13 @@
     placement,
     proposals,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 
 __all__ = ('SERVICE_MODULES', 'Kernel')
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -6,7 +6,7 @@
 from teaselcove.attempts import Attempt
 from teaselcove.claims import ClaimResult, ClaimState
 from teaselcove.effects import Answer, CancelAttempt, Dial, Refuse
-from teaselcove.entities import Route, Server
+from teaselcove.entities import Server
 from teaselcove.errors import Outcome, Reason, Refusal, not_run
 from teaselcove.events import (
     AttemptFinished,
@@ -15,7 +15,6 @@
     RequestArrived,
 )
 from teaselcove.ids import (
-    OPEN_ORGANISATION,
     AttemptId,
     Instant,
     OrganisationId,
@@ -23,11 +22,9 @@
 )
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.rates import RateState, RateVerdict
-from teaselcove.request_state import Identity, RequestState, Stage
+from teaselcove.request_state import RequestState, Stage
 from teaselcove.retries import NOT_STARTED, RetryVerdict
 
-MS_PER_S = 1000
-
 
 @services.register('requests')
 class Requests:
@@ -42,7 +39,8 @@
     @on(RequestArrived)
     def request_arrived(self, event: RequestArrived, now: Instant) -> None:
         """Checks route and key, then asks for a token of the rate."""
-        accepted = self.accept(event, now)
+        acceptance = self.kernel.service('acceptance')
+        accepted = acceptance.accept(event, now)
         if isinstance(accepted, Refusal):
             self.emit_refusal(event.request_id, accepted)
             return
@@ -58,52 +56,6 @@
         if verdict.state is not RateState.PENDING:
             self.rate_decided(event.request_id, verdict, now)
 
-    def accept(
-        self, event: RequestArrived, now: Instant
-    ) -> RequestState | Refusal:
-        """Returns the state of a valid request, or its refusal."""
-        if self.kernel.service('drain').refuses(now):
-            return not_run(Reason.DRAINING)
-        configuration = self.kernel.service('configuration')
-        if not configuration.version:
-            return not_run(Reason.NO_CONFIGURATION)
-        route = configuration.route_for(event.path)
-        if route is None:
-            return not_run(Reason.NO_ROUTE)
-        identity = self.identify(event, route, now)
-        if isinstance(identity, Refusal):
-            return identity
-        if self.kernel.service('retries').is_crashing(event.body_digest, now):
-            return not_run(Reason.CRASHING_REQUEST)
-        timeout = route.timeout_ms / MS_PER_S
-        if event.timeout is not None:
-            timeout = min(timeout, event.timeout)
-        return RequestState(
-            event,
-            route,
-            identity,
-            route.is_idempotent(event.method, event.path),
-            Instant(now + timeout),
-        )
-
-    def identify(
-        self, event: RequestArrived, route: Route, now: Instant
-    ) -> Identity | Refusal:
-        """Returns for whom a request runs, or why it may not."""
-        if event.key is None and route.open:
-            return Identity(OPEN_ORGANISATION, None)
-        if not self.kernel.service('configuration').may_serve(now):
-            return not_run(Reason.ISOLATED)
-        key = None
-        if event.key is not None:
-            key = self.kernel.service('keys').check(event.key)
-        if key is None:
-            return not_run(Reason.BAD_KEY)
-        allowed = route.organisations
-        if allowed and key.organisation not in allowed:
-            return not_run(Reason.NOT_ALLOWED)
-        return Identity(key.organisation, key.id)
-
     def rate_decided(
         self, request_id: RequestId, verdict: RateVerdict, now: Instant
     ) -> None:
@@ -148,8 +100,10 @@
         elif claim.refusal is not None:
             self.refuse(state, claim.refusal, now)
 
-    def enqueue(self, state: RequestState, now: Instant) -> None:
-        """Queues a request for a slot of its service."""
+    def enqueue(
+        self, state: RequestState, now: Instant, pause: float = 0
+    ) -> None:
+        """Queues a request for a slot of its service, after a pause."""
         state.stage = Stage.QUEUED
         organisation = self.kernel.service('configuration').organisation(
             state.identity.organisation
@@ -161,6 +115,8 @@
             organisation.weight if organisation else 1,
             state.deadline,
             state.tried,
+            state.attempts > 0,
+            Instant(now + pause),
         )
         refusal = self.kernel.service('admission').offer(ticket, now)
         if refusal is not None:
@@ -238,7 +194,7 @@
         state = self.states.get(attempt.request_id)
         if state is not None and state.attempt is attempt:
             self.settle(state, event, now)
-        self.kernel.service('admission').dispatch(attempt.service, now)
+        self.kernel.service('admission').finished(attempt, event, now)
 
     def settle(
         self, state: RequestState, event: AttemptFinished, now: Instant
@@ -246,10 +202,17 @@
         """Decides what follows the end of a request's attempt."""
         attempt = state.attempt
         state.attempt = None
-        if event.result not in NOT_STARTED:
+        if event.result in NOT_STARTED:
+            state.not_started += 1
+        else:
             state.may_have_run = True
         verdict = self.kernel.service('retries').decide(
-            attempt, event.result, event.status, state.attempts, now
+            attempt,
+            event.result,
+            event.status,
+            state.attempts,
+            state.not_started,
+            now,
         )
         if verdict is RetryVerdict.RETRY and not state.caller_gone:
             self.kernel.decide(
@@ -260,12 +223,19 @@
                 attempts=state.attempts,
             )
             state.tried = state.tried | {attempt.server}
-            self.enqueue(state, now)
+            pause = self.kernel.service('retries').pause(state.not_started)
+            self.enqueue(state, now, pause)
         elif event.result is AttemptResult.COMPLETE:
             self.answer(state, event, now)
         else:
             self.refuse(state, self.final_refusal(state), now)
 
+    def refuse_queued(
+        self, request_id: RequestId, refusal: Refusal, now: Instant
+    ) -> None:
+        """Ends a request that waits in a queue."""
+        self.refuse(self.states[request_id], refusal, now)
+
     def final_refusal(self, state: RequestState) -> Refusal:
         """Returns the refusal after the last attempt."""
         if state.may_have_run:
@@ -286,7 +256,14 @@
     def refuse(
         self, state: RequestState, refusal: Refusal, now: Instant
     ) -> None:
-        """Ends a request with a refusal."""
+        """Ends a request with a refusal.
+
+        A refusal after an attempt that may have run never says "not run".
+        """
+        if state.may_have_run and refusal.outcome is Outcome.NOT_RUN:
+            refusal = Refusal(
+                Outcome.UNKNOWN, refusal.reason, refusal.retry_after
+            )
         self.drop(state, now)
         if state.claimed:
             self.kernel.service('claims').finish(
