--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -6,6 +6,10 @@
 from teaselcove import (
     acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
     drain,
@@ -32,6 +36,10 @@
 SERVICE_MODULES = (
     acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
     drain,
