--- a/teaselcove/admission.py
+++ b/teaselcove/admission.py
@@ -157,9 +157,8 @@
     def refuse(self, ticket: Ticket, refusal: Refusal, now: Instant) -> None:
         """Ends a request that waits."""
         self.cancel(ticket.request_id, now)
-        self.kernel.service('requests').refuse_queued(
-            ticket.request_id, refusal, now
-        )
+        requests = self.kernel.service('requests')
+        requests.refuse(requests.states[ticket.request_id], refusal, now)
 
     def cancel(self, request_id: RequestId, now: Instant) -> None:
         """Removes a request that no longer waits."""
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -230,12 +230,6 @@
         else:
             self.refuse(state, self.final_refusal(state), now)
 
-    def refuse_queued(
-        self, request_id: RequestId, refusal: Refusal, now: Instant
-    ) -> None:
-        """Ends a request that waits in a queue."""
-        self.refuse(self.states[request_id], refusal, now)
-
     def final_refusal(self, state: RequestState) -> Refusal:
         """Returns the refusal after the last attempt."""
         if state.may_have_run:
