Keep header names plain, isolate failing effects, log each attempt

Cause 1: answers kept for resends carried header names of the HTTP client's own string type, which the codec refused; the failing Send effect also dropped all effects after it, among them replies to other requests. Now names are plain strings, a failing effect is logged and counted, and the next ones are carried out.

Each attempt has a decision line with server, result and time; without it the second cause could not be seen.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -79,7 +79,11 @@
         body = await request.body()
         if self.running >= SLOTS + QUEUE:
             self.shed += 1
-            return Response(status_code=SHED_STATUS, headers={SHED_HEADER: '1'})
+            request_id = request.headers.get(REQUEST_ID_HEADER, '')
+            return Response(
+                status_code=SHED_STATUS,
+                headers={SHED_HEADER: '1', REQUEST_ID_HEADER: request_id},
+            )
         self.running += 1
         try:
             async with self.slots:
--- a/teaselcove/daemon.py
+++ b/teaselcove/daemon.py
@@ -118,6 +118,7 @@
             host=self.settings.host,
             pending=len(self.frontend.pending),
             transport=self.transport.counters,
+            failed_effects=self.driver.failures,
         )
 
     async def run(self) -> None:
@@ -158,6 +159,7 @@
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=False,
             lifespan='off',
             http='httptools',
             loop='asyncio',
--- a/teaselcove/driver.py
+++ b/teaselcove/driver.py
@@ -1,6 +1,7 @@
 """Drives the decision core with the time and sockets of the event loop."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -10,6 +11,8 @@
 from teaselcove.ids import Instant
 from teaselcove.settings import HostSettings
 
+log = logging.getLogger(__name__)
+
 Carrier = Callable[[Any], None]
 
 
@@ -19,6 +22,7 @@
     Attributes:
         carriers: Functions that carry out effects, by type of effect.
         tasks: Running tasks, kept so that they are not collected.
+        failures: Effects that could not be carried out.
     """
 
     def __init__(self, settings: HostSettings, seed: int) -> None:
@@ -26,6 +30,7 @@
         self.carriers: dict[type, Carrier] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.timer: asyncio.TimerHandle | None = None
+        self.failures = 0
 
     def now(self) -> Instant:
         """Returns the present monotonic time in seconds."""
@@ -40,9 +45,17 @@
         self.carry_out(self.kernel.handle(event, self.now()))
 
     def carry_out(self, emitted: list[fx.Effect]) -> None:
-        """Carries out effects in order, then starts the timer."""
+        """Carries out effects in order, then starts the timer.
+
+        An effect that fails must not keep the following ones from being
+        carried out: among them may be the reply to another request.
+        """
         for effect in emitted:
-            self.carriers[type(effect)](effect)
+            try:
+                self.carriers[type(effect)](effect)
+            except Exception:
+                self.failures += 1
+                log.exception('an effect failed: %s', type(effect).__name__)
         self.start_timer()
 
     def start_timer(self) -> None:
--- a/teaselcove/proxy.py
+++ b/teaselcove/proxy.py
@@ -77,10 +77,11 @@
 def returned(headers: Iterable[tuple[str, str]]) -> Headers:
     """Returns the headers of an answer that the caller gets.
 
-    The host's HTTP server adds a date of its own.
+    The host's HTTP server adds a date of its own. Names become plain strings,
+    since an answer that is kept for resends is sent to other hosts.
     """
     return tuple(
-        (name, value)
+        (str(name), value)
         for name, value in headers
         if name.lower() not in NOT_RETURNED
         and not name.lower().startswith(OWN_PREFIX)
@@ -164,7 +165,14 @@
             result = AttemptResult.CANCELLED
         except ATTEMPT_ERRORS as error:
             result = classify_error(error)
-            log.debug('attempt %s: %r', dial.attempt_id, error)
+            log.info(
+                'attempt %s of request %s at %s: %s: %r',
+                dial.attempt_id,
+                dial.request_id,
+                dial.server,
+                result.value,
+                error,
+            )
         return AttemptFinished(dial.attempt_id, result)
 
     async def exchange(
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -25,6 +25,9 @@
 from teaselcove.request_state import RequestState, Stage
 from teaselcove.retries import NOT_STARTED, RetryVerdict
 
+# Decision lines give times to a tenth of a millisecond.
+ELAPSED_DIGITS = 4
+
 
 @services.register('requests')
 class Requests:
@@ -184,6 +187,15 @@
         attempt = self.by_attempt.pop(event.attempt_id, None)
         if attempt is None:
             return
+        self.kernel.decide(
+            'attempt',
+            request=attempt.request_id,
+            organisation=attempt.organisation,
+            server=attempt.server,
+            result=event.result.value,
+            status=event.status,
+            elapsed=round(now - attempt.started_at, ELAPSED_DIGITS),
+        )
         routing = self.kernel.service('routing')
         routing.finished(attempt, event.result, now)
         if event.leaving:
