--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -92,6 +92,7 @@
         outcomes: Answer and refusal effects by request id.
         decisions: All decisions as (time, host, effect), if kept.
         sent: Messages and bytes by host.
+        unlisted: Running hosts that the list does not show.
         cuts: Links cut one way, as (sender, recipient).
         loss: Share of messages that are lost.
         repeat: Share of messages that arrive twice.
@@ -111,6 +112,7 @@
         self.keep_decisions = False
         self.sent: Counter[HostId] = Counter()
         self.sent_bytes: Counter[HostId] = Counter()
+        self.unlisted: set[HostId] = set()
         self.cuts: set[tuple[HostId, HostId]] = set()
         self.loss = float(0)
         self.repeat = float(0)
@@ -135,7 +137,11 @@
 
     def publish_list(self) -> None:
         """Makes the present hosts visible in the list after its lag."""
-        entries = {name: host.entry for name, host in self.hosts.items()}
+        entries = {
+            name: host.entry
+            for name, host in self.hosts.items()
+            if name not in self.unlisted
+        }
         lag = LIST_LAG_S if self.listed else 0
         self.listed.append((self.now + lag, entries))
 
--- a/teaselcove/buckets.py
+++ b/teaselcove/buckets.py
@@ -173,6 +173,8 @@
         Denied hosts get times one token apart, so that under overload about
         one host asks for each token.
         """
+        if self.rate <= 0:
+            return LONGEST_WAIT_S
         earned = now + max(0, 1 - self.level) / self.rate
         self.next_slot = Instant(max(earned, self.next_slot + 1 / self.rate))
         longest = max(LONGEST_WAIT_S, earned - now)
--- a/teaselcove/proposals.py
+++ b/teaselcove/proposals.py
@@ -15,7 +15,7 @@
     PauseDetected,
     PeerMessageReceived,
 )
-from teaselcove.ids import AppendId, HostId, Incarnation, Instant
+from teaselcove.ids import AppendId, HostId, Incarnation, Instant, Offset
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.ownership import STREAM, Ownership
 from teaselcove.placement import rendezvous_score
@@ -43,6 +43,8 @@
         absent_since: First list read that lacked a host which owns slices.
         listed: The platform's list of hosts.
         incarnations: Process of each host as heard from itself.
+        restart_checked: Offset at which no place named an earlier process.
+        placed_well: Offset and list for which no own place was misplaced.
         quiet_until: When the next proposal may be written.
     """
 
@@ -55,6 +57,8 @@
         self.list_changed_at: Instant | None = None
         self.incarnations: dict[HostId, Incarnation] = {}
         self.quiet_until = Instant(0)
+        self.restart_checked: Offset | None = None
+        self.placed_well: tuple[Offset, tuple[HostId, ...]] | None = None
 
     @property
     def ownership(self) -> Ownership:
@@ -115,12 +119,7 @@
             vacant = self.vacant_places(now)
             changes += self.allocator(now).allocate(vacant) if vacant else []
         if not changes and self.is_settled(now):
-            zones = {entry.host: entry.zone for entry in self.candidates(now)}
-            own = set(self.ownership.own_places())
-            surplus = misplaced(self.ownership.table, self.host, zones)
-            changes = self.hand_over(
-                [place for place in surplus if place in own], now
-            )
+            changes = self.hand_over(self.surplus(now), now)
         self.append(changes, now)
 
     def append(self, changes: list[SeatChange], now: Instant) -> None:
@@ -135,6 +134,20 @@
             self.quiet_until = Instant(now + REPEAT_S)
             self.kernel.decide('ownership', changes=len(changes))
 
+    def surplus(self, now: Instant) -> list[SeatKey]:
+        """Returns own places that are better off at another host."""
+        ownership = self.ownership
+        state = (ownership.next_offset, tuple(sorted(self.listed)))
+        if state == self.placed_well:
+            return []
+        zones = {entry.host: entry.zone for entry in self.candidates(now)}
+        own = set(ownership.own_places())
+        surplus = misplaced(ownership.table, self.host, zones)
+        found = [place for place in surplus if place in own]
+        if not found:
+            self.placed_well = state
+        return found
+
     def own_restart(self) -> list[SeatChange]:
         """Returns changes that replace earlier processes of this host.
 
@@ -142,10 +155,14 @@
         """
         if self.host not in self.listed:
             return []
+        if self.ownership.next_offset == self.restart_checked:
+            return []
         table = self.ownership.table
         restarted = table.places_of(self.host).difference(
             self.ownership.own_places()
         )
+        if not restarted:
+            self.restart_checked = self.ownership.next_offset
         allocator = Allocator(table, [], self.known_incarnations())
         return [
             allocator.change(place, self.host) for place in sorted(restarted)
--- a/teaselcove/slices.py
+++ b/teaselcove/slices.py
@@ -78,19 +78,18 @@
     Attributes:
         seats: Owner by place.
         by_host: Places by the host that is named for them.
+        by_slice: Owners that were named, by slice and in order of index.
     """
 
     def __init__(self) -> None:
         self.seats = {place: Seat(place.index) for place in all_places()}
         self.by_host: dict[HostId, set[SeatKey]] = defaultdict(set)
         self.by_host[NO_HOST].update(self.seats)
+        self.by_slice: dict[SliceId, tuple[Seat, ...]] = {}
 
     def owners(self, slice_id: SliceId) -> tuple[Seat, ...]:
         """Returns the owners of a slice by index, without empty places."""
-        seats = (
-            self.seats[SeatKey(slice_id, index)] for index in range(OWNER_COUNT)
-        )
-        return tuple(seat for seat in seats if seat.epoch)
+        return self.by_slice.get(slice_id, ())
 
     def places_of(self, host: HostId) -> set[SeatKey]:
         """Returns the places that a host is named for."""
@@ -103,6 +102,14 @@
             if self.wins(change):
                 self.apply(change)
                 changed.add(change.slice_id)
+        for slice_id in changed:
+            seats = [
+                self.seats[SeatKey(slice_id, index)]
+                for index in range(OWNER_COUNT)
+            ]
+            self.by_slice[slice_id] = tuple(
+                seat for seat in seats if seat.epoch
+            )
         return frozenset(changed)
 
     def wins(self, change: SeatChange) -> bool:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -92,7 +92,10 @@
         fleet.run_until(8)
         before = len(fleet.log.streams[STREAM])
         fleet.handle('host-3', DrainRequested())
-        assert not ownership(fleet, 'host-3').is_owner(3, fleet.now)
+        leaving = ownership(fleet, 'host-3')
+        assert leaving.own_places()
+        for place in leaving.own_places():
+            assert leaving.is_owner(place.slice_id, fleet.now) is None
         fleet.run_until(10)
         assert len(fleet.log.streams[STREAM]) == before + 1
         assert acting(fleet) == ALL_PLACES
