--- a/standins/rate_load.py
+++ b/standins/rate_load.py
@@ -126,9 +126,14 @@
 
 
 class Probe:
-    """Stands in for the requests service of a host."""
+    """Stands in for the requests service of a host.
+
+    Attributes:
+        states: Requests in flight, which heartbeats count; always none.
+    """
 
     def __init__(self, kernel: Kernel, judge: Judge) -> None:
+        self.states: dict[RequestId, None] = {}
         self.kernel = kernel
         self.judge = judge
 
