Keep retries in a budget, hedge silent calls and block crashing requests

Second attempts of idempotent calls are paid from a token bucket for each service and host. Hosts tell each other which request was running when a server reset its connection; after two servers it is refused for 60 s, unless a server has completed it since. A suspect runs at another server next time.

--- a/teaselcove/admission.py
+++ b/teaselcove/admission.py
@@ -62,6 +62,12 @@
     def remove(self, request_id: RequestId) -> None:
         """Removes a ticket that waits no longer."""
 
+    def is_idle(self, now: Instant) -> bool:
+        """Returns whether nothing waits and another attempt may start."""
+
+    def started(self, attempt: Attempt, now: Instant) -> None:
+        """Notes an attempt."""
+
     def finished(
         self, attempt: Attempt, event: AttemptFinished, now: Instant
     ) -> None:
@@ -102,6 +108,13 @@
             ticket for ticket in self.tickets if ticket.request_id != request_id
         )
 
+    def is_idle(self, now: Instant) -> bool:
+        """Returns whether nothing waits."""
+        return not self.tickets
+
+    def started(self, attempt: Attempt, now: Instant) -> None:
+        """Does nothing: the order does not depend on it."""
+
     def finished(
         self, attempt: Attempt, event: AttemptFinished, now: Instant
     ) -> None:
@@ -166,6 +179,14 @@
         if service is not None:
             self.queues[service].remove(request_id)
 
+    def is_idle(self, service: ServiceId, now: Instant) -> bool:
+        """Returns whether a second attempt would delay nobody."""
+        return self.queues[service].is_idle(now)
+
+    def started(self, attempt: Attempt, now: Instant) -> None:
+        """Notes an attempt."""
+        self.queues[attempt.service].started(attempt, now)
+
     def finished(
         self, attempt: Attempt, event: AttemptFinished, now: Instant
     ) -> None:
--- a/teaselcove/callers.py
+++ b/teaselcove/callers.py
@@ -20,6 +20,9 @@
 RECONNECT_S = 0.5
 CALLERS_PER_SHARE = 40
 IDEMPOTENT_SHARE = 0.7
+# Look-ups that many callers make alike, so that their digests are equal.
+POPULAR_SHARE = 0.3
+POPULAR = 20
 MAX_CONNECT_TRIES = 3
 
 
@@ -160,10 +163,16 @@
             now,
             idempotent,
             self.rates[name].take(now),
-            f'd{number}'.encode(),
+            self.digest(number, idempotent),
         )
         return record
 
+    def digest(self, number: int, idempotent: bool) -> bytes:
+        """Returns the digest of a call."""
+        if idempotent and self.random.random() < POPULAR_SHARE:
+            return f'popular-{self.random.randrange(POPULAR)}'.encode()
+        return f'call-{number}'.encode()
+
     def send(self, record: CallRecord, now: Instant) -> None:
         """Sends a call through one of its organisation's callers."""
         self.records.append(record)
--- a/teaselcove/concurrency.py
+++ b/teaselcove/concurrency.py
@@ -2,7 +2,7 @@
 
 from teaselcove.attempts import Attempt
 from teaselcove.events import AttemptFinished, AttemptResult
-from teaselcove.ids import BackendServerId, Instant, RequestId
+from teaselcove.ids import BackendServerId, Instant
 
 # An attempt this old says more about its server than about the load.
 STUCK_S = 0.5
@@ -44,16 +44,16 @@
             self.young.pop(oldest)
         return len(self.young) < self.limit
 
-    def started(self, request_id: RequestId, now: Instant) -> None:
+    def started(self, attempt: Attempt, now: Instant) -> None:
         """Notes an attempt."""
-        self.young[request_id] = now
+        self.young[attempt.attempt_id] = now
 
     def finished(
         self, attempt: Attempt, event: AttemptFinished, now: Instant
     ) -> None:
         """Adapts the limit to how an attempt ended."""
         in_flight = len(self.young)
-        self.young.pop(attempt.request_id, None)
+        self.young.pop(attempt.attempt_id, None)
         if event.result is AttemptResult.SHED and not event.leaving:
             self.note_shed(attempt.server, in_flight, now)
         elif in_flight + 1 >= self.limit:
--- /dev/null
+++ b/teaselcove/crashes.py
@@ -0,0 +1,112 @@
+"""Requests that crash each server that runs them."""
+
+from collections import OrderedDict
+
+import msgspec
+
+from teaselcove.ids import BackendServerId, Instant
+from teaselcove.messages import message
+
+BLOCKED_S = 60
+# Crashes of one request further apart than this are taken as unrelated.
+SUSPECT_S = 60
+# Servers that one request may hurt before it is refused.
+MAX_HURT = 2
+MAX_KNOWN = 1024
+
+
+@message('crash-suspect')
+class CrashSuspected(msgspec.Struct, frozen=True):
+    """The server that ran a request reset its connection.
+
+    Attributes:
+        digest: Digest of method, path and body of the request.
+    """
+
+    digest: bytes
+    server: BackendServerId
+
+
+@message('crash-block')
+class CrashBlocked(msgspec.Struct, frozen=True):
+    """A request has hurt two servers and must not run again.
+
+    Attributes:
+        duration: Seconds to refuse it.
+    """
+
+    digest: bytes
+    duration: float
+
+
+class Suspect(msgspec.Struct):
+    """A request that was running when its server reset the connection.
+
+    Attributes:
+        hurt: When each server did so.
+        innocent: Whether a server has completed the request since.
+    """
+
+    hurt: dict[BackendServerId, Instant]
+    innocent: bool = False
+
+
+class CrashTable:
+    """What one host knows about crashing requests, in bounded memory."""
+
+    def __init__(self) -> None:
+        self.suspects: OrderedDict[bytes, Suspect] = OrderedDict()
+        self.blocked: OrderedDict[bytes, Instant] = OrderedDict()
+
+    def note_crash(
+        self, digest: bytes, server: BackendServerId, now: Instant
+    ) -> bool:
+        """Notes a crash; returns whether the request is to be blocked.
+
+        Args:
+            digest: The request.
+            server: The server that reset the connection.
+            now: Present time.
+        """
+        suspect = self.suspects.pop(digest, None)
+        if suspect is None or self.is_old(suspect, now):
+            suspect = Suspect({})
+        suspect.hurt[server] = now
+        self.suspects[digest] = suspect
+        if len(self.suspects) > MAX_KNOWN:
+            self.suspects.popitem(last=False)
+        return len(suspect.hurt) >= MAX_HURT and not suspect.innocent
+
+    def is_old(self, suspect: Suspect, now: Instant) -> bool:
+        """Returns whether all crashes of a suspect are long ago."""
+        return max(suspect.hurt.values()) < now - SUSPECT_S
+
+    def hurt(self, digest: bytes) -> frozenset[BackendServerId]:
+        """Returns the servers that crashed while they ran a request."""
+        suspect = self.suspects.get(digest)
+        return frozenset(suspect.hurt if suspect else ())
+
+    def note_complete(self, digest: bytes) -> None:
+        """Notes that a server has completed a request."""
+        suspect = self.suspects.get(digest)
+        if suspect is not None:
+            suspect.innocent = True
+
+    def block(self, digest: bytes, until: Instant) -> None:
+        """Refuses a request for some time, unless it is known as innocent."""
+        suspect = self.suspects.get(digest)
+        if suspect is not None and suspect.innocent:
+            return
+        self.blocked[digest] = until
+        self.blocked.move_to_end(digest)
+        if len(self.blocked) > MAX_KNOWN:
+            self.blocked.popitem(last=False)
+
+    def is_blocked(self, digest: bytes, now: Instant) -> bool:
+        """Returns whether a request is to be refused."""
+        return self.blocked.get(digest, now) > now
+
+    def is_suspect(self, digest: bytes) -> bool:
+        """Returns whether a request has hurt a server and not completed."""
+        suspect = self.suspects.get(digest)
+        return suspect is not None and not suspect.innocent
--- a/teaselcove/events.py
+++ b/teaselcove/events.py
@@ -106,7 +106,8 @@
     """An attempt has ended.
 
     Attributes:
-        status: HTTP status of a whole answer, else None.
+        status: HTTP status of a whole or truncated answer; None if none
+            was read.
         leaving: Whether the server announced that it drains.
         answer: The answer of an attempt that may be recalled later.
     """
--- a/teaselcove/fair_queue.py
+++ b/teaselcove/fair_queue.py
@@ -158,7 +158,6 @@
             flow.tag += 1 / flow.weight
         flow.tickets.popleft()
         self.owner.pop(ticket.request_id)
-        self.limit.started(ticket.request_id, now)
         self.rate.note(now)
         if flow.tickets:
             self.enter(ticket.organisation, flow.tag)
@@ -187,6 +186,14 @@
         if not flow.tickets:
             self.close_flow(organisation, flow)
 
+    def is_idle(self, now: Instant) -> bool:
+        """Returns whether nothing waits and another attempt may start."""
+        return not self.owner and self.limit.may_start(now)
+
+    def started(self, attempt: Attempt, now: Instant) -> None:
+        """Counts an attempt for the limit."""
+        self.limit.started(attempt, now)
+
     def finished(
         self, attempt: Attempt, event: AttemptFinished, now: Instant
     ) -> None:
--- a/teaselcove/request_state.py
+++ b/teaselcove/request_state.py
@@ -6,6 +6,7 @@
 
 from teaselcove.attempts import Attempt
 from teaselcove.entities import Route
+from teaselcove.errors import Outcome, Reason, Refusal, not_run
 from teaselcove.events import RequestArrived
 from teaselcove.ids import (
     BackendServerId,
@@ -44,6 +45,8 @@
         caller_gone: Whether nobody waits for the answer.
         attempts: Attempts so far.
         not_started: Attempts that provably did not start at a server.
+        running: Attempts that have not ended; two when hedged.
+        after_silence: Whether an attempt got no answer in time.
         tried: Servers that failed it.
     """
 
@@ -58,11 +61,20 @@
     caller_gone: bool = False
     attempts: int = 0
     not_started: int = 0
-    attempt: Attempt | None = None
+    running: list[Attempt] = []
+    after_silence: bool = False
     tried: frozenset[BackendServerId] = frozenset()
     timer: TimerId | None = None
+    hedge_timer: TimerId | None = None
 
     @property
     def request_id(self) -> RequestId:
         """The id of the request."""
         return self.arrival.request_id
+
+
+def final_refusal(state: RequestState) -> Refusal:
+    """Returns the refusal after the last attempt."""
+    if state.may_have_run:
+        return Refusal(Outcome.UNKNOWN, Reason.ANSWER_LOST)
+    return not_run(Reason.NO_SERVER, 1)
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -23,8 +23,13 @@
 )
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.rates import RateState, RateVerdict
-from teaselcove.request_state import Identity, RequestState, Stage
-from teaselcove.retries import NOT_STARTED, RetryVerdict
+from teaselcove.request_state import (
+    Identity,
+    RequestState,
+    Stage,
+    final_refusal,
+)
+from teaselcove.retries import NOT_STARTED, RetryVerdict, has_failed
 
 MS_PER_S = 1000
 
@@ -50,7 +55,6 @@
         accepted.timer = self.kernel.call_at(
             accepted.deadline, lambda later: self.expire(accepted, later)
         )
-        self.kernel.service('retries').request_arrived(now)
         accepted.stage = Stage.RATE
         verdict = self.kernel.service('rates').take(
             event.request_id, accepted.identity.organisation, now
@@ -162,7 +166,7 @@
             state.route.service,
             organisation.weight if organisation else 1,
             state.deadline,
-            state.tried,
+            state.tried | self.kernel.service('retries').hurt(state),
             state.attempts > 0,
             Instant(now + pause),
         )
@@ -175,8 +179,9 @@
     ) -> None:
         """Starts an attempt, unless the key was withdrawn meanwhile."""
         state = self.states[request_id]
-        if not self.is_key_in_force(state):
-            self.refuse(state, not_run(Reason.BAD_KEY), now)
+        reason = self.obstacle(state, now)
+        if reason is not None:
+            self.give_up(state, reason, now)
             return
         attempt = Attempt(
             AttemptId(next(self.attempt_ids)),
@@ -189,11 +194,14 @@
             now,
         )
         state.stage = Stage.RUNNING
-        state.attempt = attempt
+        state.running.append(attempt)
         state.attempts += 1
         self.by_attempt[attempt.attempt_id] = attempt
         self.kernel.service('routing').started(attempt, now)
         self.kernel.service('health').started(attempt, now)
+        self.kernel.service('admission').started(attempt, now)
+        self.kernel.service('retries').started(state, attempt, now)
+        self.kernel.service('hedging').started(state, attempt, now)
         service = self.kernel.service('configuration').service(
             state.route.service
         )
@@ -207,17 +215,23 @@
                 state.deadline - now,
                 # A kept connection may break just as the request is written;
                 # then nobody knows whether the call ran.
-                new_connection=not state.idempotent,
+                # After silence, only a new connection may work.
+                new_connection=not state.idempotent or state.after_silence,
                 echo_request_id=service.echo_request_id,
             )
         )
 
-    def is_key_in_force(self, state: RequestState) -> bool:
-        """Returns whether the request's key is still valid."""
+    def obstacle(self, state: RequestState, now: Instant) -> Reason | None:
+        """Returns what has happened since the arrival to forbid a run."""
+        retries = self.kernel.service('retries')
+        if retries.is_crashing(state.arrival.body_digest, now):
+            return Reason.CRASHING_REQUEST
         key_id = state.identity.key_id
         if key_id is None:
-            return True
-        return self.kernel.service('configuration').key(key_id) is not None
+            return None
+        if self.kernel.service('configuration').key(key_id) is None:
+            return Reason.BAD_KEY
+        return None
 
     @on(AttemptFinished)
     def attempt_finished(self, event: AttemptFinished, now: Instant) -> None:
@@ -232,30 +246,47 @@
         self.kernel.service('health').finished(
             attempt, event.result, event.status, now
         )
+        self.kernel.service('retries').finished(attempt, event, now)
+        self.kernel.service('hedging').finished(attempt, event, now)
         state = self.states.get(attempt.request_id)
-        if state is not None and state.attempt is attempt:
-            self.settle(state, event, now)
+        if state is not None and attempt in state.running:
+            self.settle(state, attempt, event, now)
         self.kernel.service('admission').finished(attempt, event, now)
 
     def settle(
-        self, state: RequestState, event: AttemptFinished, now: Instant
+        self,
+        state: RequestState,
+        attempt: Attempt,
+        event: AttemptFinished,
+        now: Instant,
     ) -> None:
         """Decides what follows the end of a request's attempt."""
-        attempt = state.attempt
-        state.attempt = None
+        state.running.remove(attempt)
         if event.result in NOT_STARTED:
             state.not_started += 1
         else:
             state.may_have_run = True
-        verdict = self.kernel.service('retries').decide(
-            attempt,
-            event.result,
-            event.status,
-            state.attempts,
-            state.not_started,
-            now,
-        )
-        if verdict is RetryVerdict.RETRY and not state.caller_gone:
+        if not has_failed(event):
+            self.answer(state, event, now)
+            return
+        state.tried = state.tried | {attempt.server}
+        # The answer of a second attempt may still come.
+        if not state.running:
+            self.settle_failure(state, attempt, event, now)
+
+    def settle_failure(
+        self,
+        state: RequestState,
+        attempt: Attempt,
+        event: AttemptFinished,
+        now: Instant,
+    ) -> None:
+        """Tries again, or ends a request whose last attempt has failed."""
+        retries = self.kernel.service('retries')
+        verdict = RetryVerdict.GIVE_UP
+        if not state.caller_gone:
+            verdict = retries.decide(state, attempt, event, now)
+        if verdict is RetryVerdict.RETRY:
             self.kernel.decide(
                 'retry',
                 request=state.request_id,
@@ -263,24 +294,17 @@
                 result=event.result.value,
                 attempts=state.attempts,
             )
-            state.tried = state.tried | {attempt.server}
-            pause = self.kernel.service('retries').pause(state.not_started)
-            self.enqueue(state, now, pause)
+            self.enqueue(state, now, retries.pause(state))
         elif event.result is AttemptResult.COMPLETE:
             self.answer(state, event, now)
         else:
-            self.refuse(state, self.final_refusal(state), now)
-
-    def final_refusal(self, state: RequestState) -> Refusal:
-        """Returns the refusal after the last attempt."""
-        if state.may_have_run:
-            return Refusal(Outcome.UNKNOWN, Reason.ANSWER_LOST)
-        return not_run(Reason.NO_SERVER, 1)
+            self.refuse(state, final_refusal(state), now)
 
     def answer(
         self, state: RequestState, event: AttemptFinished, now: Instant
     ) -> None:
         """Gives a whole answer to the caller."""
+        self.abandon(state, now)
         self.drop(state, now)
         if state.claimed:
             self.kernel.service('claims').finish(
@@ -327,8 +351,9 @@
     def drop(self, state: RequestState, now: Instant) -> None:
         """Forgets a request that ends."""
         self.states.pop(state.request_id, None)
-        if state.timer is not None:
-            self.kernel.cancel(state.timer)
+        for timer in (state.timer, state.hedge_timer):
+            if timer is not None:
+                self.kernel.cancel(timer)
 
     def expire(self, state: RequestState, now: Instant) -> None:
         """Ends a request whose deadline has passed."""
@@ -349,10 +374,10 @@
             self.kernel.service('rates').cancel(state.request_id, now)
         if state.stage is Stage.QUEUED:
             self.kernel.service('admission').cancel(state.request_id, now)
-        if state.attempt is not None:
+        for attempt in state.running:
             state.may_have_run = True
-            self.kernel.emit(CancelAttempt(state.attempt.attempt_id))
-            state.attempt = None
+            self.kernel.emit(CancelAttempt(attempt.attempt_id))
+        state.running = []
 
     @on(CallerGone)
     def caller_left(self, event: CallerGone, now: Instant) -> None:
@@ -365,5 +390,5 @@
         if state is None:
             return
         state.caller_gone = True
-        if state.attempt is None or state.idempotent:
+        if not state.running or state.idempotent:
             self.give_up(state, Reason.DEADLINE, now)
--- a/teaselcove/retries.py
+++ b/teaselcove/retries.py
@@ -3,9 +3,18 @@
 from enum import Enum
 
 from teaselcove.attempts import Attempt
-from teaselcove.events import AttemptResult
-from teaselcove.ids import Instant
-from teaselcove.kernel import Kernel, services
+from teaselcove.crashes import (
+    BLOCKED_S,
+    CrashBlocked,
+    CrashSuspected,
+    CrashTable,
+)
+from teaselcove.effects import Send
+from teaselcove.events import AttemptFinished, AttemptResult
+from teaselcove.ids import BackendServerId, HostId, Instant, OrganisationId
+from teaselcove.kernel import Kernel, on, services
+from teaselcove.request_state import RequestState
+from teaselcove.retry_budget import RetryBudget
 
 # Attempts that may have run, with the first one.
 MAX_STARTED = 3
@@ -16,6 +25,9 @@
 FIRST_PAUSE_S = 0.02
 MAX_PAUSE_S = 0.2
 SERVER_ERROR_STATUS = 500
+# Above this number of hosts, only those that callers of the organisation
+# use are told about a suspect.
+MAX_TOLD = 64
 
 # Results after which the call provably did not start.
 NOT_STARTED = frozenset((AttemptResult.NOT_SENT, AttemptResult.SHED))
@@ -28,60 +40,151 @@
     GIVE_UP = 'give-up'
 
 
+def has_failed(event: AttemptFinished) -> bool:
+    """Returns whether an attempt gave no useful answer."""
+    if event.result is not AttemptResult.COMPLETE:
+        return True
+    return (event.status or 0) >= SERVER_ERROR_STATUS
+
+
 @services.register('retries')
 class Retries:
-    """Decides about retries."""
+    """Decides about retries and finds crashing requests."""
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
+        self.budget = RetryBudget()
+        self.crashes = CrashTable()
 
-    def request_arrived(self, now: Instant) -> None:
-        """Counts a request for the retry budget."""
+    def started(
+        self, state: RequestState, attempt: Attempt, now: Instant
+    ) -> None:
+        """Counts a call for the retry budget at its first attempt."""
+        if state.attempts == 1:
+            self.budget.deposit(attempt.service)
 
     def decide(
         self,
+        state: RequestState,
         attempt: Attempt,
-        result: AttemptResult,
-        status: int | None,
-        attempts: int,
-        not_started: int,
+        event: AttemptFinished,
         now: Instant,
     ) -> RetryVerdict:
         """Decides whether to try again.
 
         Args:
-            attempt: The attempt that has ended.
-            result: How it ended.
-            status: HTTP status of a whole answer.
-            attempts: Attempts of the request so far.
-            not_started: How many of them provably did not start.
+            state: The request.
+            attempt: Its attempt that has ended.
+            event: How the attempt ended.
             now: Present time.
         """
-        if result in NOT_STARTED:
-            if not_started < MAX_NOT_STARTED:
-                return RetryVerdict.RETRY
-            return RetryVerdict.GIVE_UP
-        failed = (
-            result is not AttemptResult.COMPLETE
-            or (status or 0) >= SERVER_ERROR_STATUS
-        )
-        started = attempts - not_started
-        if failed and attempt.idempotent and started < MAX_STARTED:
-            return RetryVerdict.RETRY
-        return RetryVerdict.GIVE_UP
-
-    def pause(self, not_started: int) -> float:
+        if event.result in NOT_STARTED:
+            again = state.not_started < MAX_NOT_STARTED
+        else:
+            again = has_failed(event) and self.may_repeat(state, attempt, now)
+        return RetryVerdict.RETRY if again else RetryVerdict.GIVE_UP
+
+    def may_repeat(
+        self, state: RequestState, attempt: Attempt, now: Instant
+    ) -> bool:
+        """Returns whether a call may run again; takes from the budget."""
+        started = state.attempts - state.not_started
+        if not attempt.idempotent or started >= MAX_STARTED:
+            return False
+        late = now + self.pause(state) >= state.deadline
+        if late or self.is_crashing(attempt.body_digest, now):
+            return False
+        return self.budget.withdraw(attempt.service)
+
+    def pause(self, state: RequestState) -> float:
         """Returns the seconds to wait before the next attempt.
 
         Attempts that did not start go to other servers at once, until so
         many servers have shed that all of them seem to be full.
         """
-        doublings = not_started - UNPAUSED_NOT_STARTED
+        started = state.attempts - state.not_started
+        unpaused = max(0, state.not_started - UNPAUSED_NOT_STARTED + 1)
+        doublings = started + unpaused - 1
         if doublings < 0:
             return 0
         pause = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**doublings)
         return pause * self.kernel.random.uniform(0.5, 1)
 
+    def finished(
+        self, attempt: Attempt, event: AttemptFinished, now: Instant
+    ) -> None:
+        """Notes what the end of an attempt says about its request."""
+        digest = attempt.body_digest
+        if event.result is AttemptResult.COMPLETE:
+            self.crashes.note_complete(digest)
+        # A truncated answer has a status; a server that crashes gives none.
+        elif event.result is AttemptResult.BROKEN and event.status is None:
+            suspicion = CrashSuspected(digest, attempt.server)
+            self.tell(suspicion, attempt.organisation, now)
+            self.note_crash(suspicion, now)
+
+    def note_crash(self, suspicion: CrashSuspected, now: Instant) -> None:
+        """Blocks a request that has hurt too many servers."""
+        digest = suspicion.digest
+        if not self.crashes.note_crash(digest, suspicion.server, now):
+            return
+        if self.is_crashing(digest, now):
+            return
+        self.crashes.block(digest, Instant(now + BLOCKED_S))
+        self.kernel.decide(
+            'block',
+            digest=digest.hex(),
+            servers=sorted(self.crashes.suspects[digest].hurt),
+            seconds=BLOCKED_S,
+        )
+        for host in self.peers():
+            self.kernel.emit(Send(host, CrashBlocked(digest, BLOCKED_S)))
+
+    def hurt(self, state: RequestState) -> frozenset[BackendServerId]:
+        """Returns the servers that crashed while they ran a request.
+
+        Another server shows sooner whether the request is the cause.
+        """
+        return self.crashes.hurt(state.arrival.body_digest)
+
+    def peers(self) -> list[HostId]:
+        """Returns the other hosts of the platform's list."""
+        hosts = self.kernel.service('membership').hosts
+        return sorted(hosts.keys() - {self.kernel.settings.host})
+
+    def tell(
+        self,
+        suspicion: CrashSuspected,
+        organisation: OrganisationId,
+        now: Instant,
+    ) -> None:
+        """Tells the hosts to which the caller may send a request again."""
+        told = self.peers()
+        if len(told) > MAX_TOLD:
+            placement = self.kernel.service('placement')
+            answer = placement.hosts_for(organisation, now)
+            hosts = self.kernel.service('membership').hosts
+            told = [
+                host for host in told if hosts[host].address in answer.addresses
+            ]
+        for host in told:
+            self.kernel.emit(Send(host, suspicion))
+
+    @on(CrashSuspected)
+    def crash_suspected(
+        self, sender: HostId, suspicion: CrashSuspected, now: Instant
+    ) -> None:
+        """Notes a crash that another host saw."""
+        self.note_crash(suspicion, now)
+
+    @on(CrashBlocked)
+    def crash_blocked(
+        self, sender: HostId, block: CrashBlocked, now: Instant
+    ) -> None:
+        """Refuses a request that another host found to crash servers."""
+        duration = min(block.duration, BLOCKED_S)
+        self.crashes.block(block.digest, Instant(now + duration))
+
     def is_crashing(self, body_digest: bytes, now: Instant) -> bool:
         """Returns whether a request has crashed backend servers."""
-        return False
+        return self.crashes.is_blocked(body_digest, now)
--- a/teaselcove/scenarios_load.py
+++ b/teaselcove/scenarios_load.py
@@ -66,6 +66,7 @@
 def send_crasher(run: Experiment, idempotent: bool, now: Instant) -> None:
     """Sends a crashing request, which its caller sends again and again."""
     record = run.callers.new_record(GREEDY, now, idempotent)
+    record.digest = f'crash-{record.request_id}'.encode()
     record.crashing = True
     record.resends = CRASH_RESENDS
     run.callers.send(record, now)
