--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -99,7 +99,7 @@
         fleet.run_until(10)
         assert len(fleet.log.streams[STREAM]) == before + 1
         assert acting(fleet) == ALL_PLACES
-        assert not ownership(fleet, 'host-3').own_places()
+        assert not leaving.own_places()
 
     def test_pause(self) -> None:
         """Guards against authority from a read that a pause made old."""
