Eject servers that do worse than their peers

A server that stalls while it passes health checks kept its share of work, because no evidence was collected.

Hosts count completions, failures and the ages of calls in flight, compare them with the latencies of the whole service, and pool them through one aggregator for each service. The floor is applied on each host each time that weights are read. Readmission goes through trial calls that may be repeated. Two baselines stay: none and consecutive-failures.

--- a/teaselcove/admission.py
+++ b/teaselcove/admission.py
@@ -27,6 +27,7 @@
         weight: Share of the service relative to other organisations.
         deadline: When the caller stops waiting.
         exclude: Servers that have failed this request.
+        idempotent: Whether the call may be repeated.
     """
 
     request_id: RequestId
@@ -35,6 +36,7 @@
     weight: float
     deadline: Instant
     exclude: frozenset[BackendServerId] = frozenset()
+    idempotent: bool = False
 
 
 class Queue(Protocol):
@@ -111,7 +113,9 @@
         routing = self.kernel.service('routing')
         ticket = queue.peek(now)
         while ticket is not None:
-            server = routing.pick(service, ticket.exclude, now)
+            server = routing.pick(
+                service, ticket.exclude, now, ticket.idempotent
+            )
             if server is None:
                 self.retry_later(service, now)
                 return
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -212,6 +212,7 @@
             organisation.weight if organisation else 1,
             state.deadline,
             state.tried,
+            state.idempotent,
         )
         refusal = self.kernel.service('admission').offer(ticket, now)
         if refusal is not None:
@@ -252,6 +253,9 @@
                 server.address,
                 state.identity.organisation,
                 state.deadline - now,
+                new_connection=self.kernel.service(
+                    'health'
+                ).needs_new_connection(server.id, now),
                 echo_request_id=service.echo_request_id,
             )
         )
--- a/teaselcove/settings.py
+++ b/teaselcove/settings.py
@@ -24,11 +24,16 @@
 
 
 class PolicySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Names of the registry entries in use."""
+    """Names of the registry entries in use.
+
+    Attributes:
+        evidence: `pooled` to share evidence between hosts, or `local`.
+    """
 
     limiter: str = 'static'
     balancer: str = 'least-in-flight'
     ejection: str = 'none'
+    evidence: str = 'pooled'
     queue: str = 'fifo'
     placement: str = 'rendezvous'
 
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,190 @@
+"""Tests of detection, ejection and readmission over several hosts."""
+
+import pytest
+
+from teaselcove.effects import CloseConnections
+from teaselcove.events import AttemptFinished, AttemptResult
+from tests.backends import Backends, Fault
+from tests.support import make_kernel
+from tests.test_requests import arrival
+
+HOSTS = 12
+SERVERS = 9
+FLOOR = 6
+WARM_UP_S = 8
+RATE = 60
+
+
+def make_backends(**policies: str) -> Backends:
+    """Returns a fleet that has seen calls for a while."""
+    backends = Backends(HOSTS, SERVERS, FLOOR, seed=3, **policies)
+    backends.run(WARM_UP_S, RATE)
+    return backends
+
+
+def ejected(backends: Backends) -> set[str]:
+    """Returns the servers that the pooled evidence ejected."""
+    return {
+        server
+        for _, server, stage in backends.stages('pooled')
+        if stage == 'out'
+    }
+
+
+class TestDetection:
+    """Sick servers are found and get no new work."""
+
+    @pytest.mark.parametrize(
+        'fault', [fault for fault in Fault if fault is not Fault.COLD]
+    )
+    def test_found(self, fault: Fault) -> None:
+        """Guards against a sick server that keeps its share of work."""
+        backends = make_backends()
+        backends.faults['s4'] = fault
+        backends.run(WARM_UP_S + 3, RATE)
+        assert ejected(backends) == {'s4'}
+        assert {
+            host: backends.weights(host)['s4'] for host in backends.fleet.hosts
+        } == dict.fromkeys(backends.fleet.hosts, 0)
+
+    def test_stall_is_found_in_time(self) -> None:
+        """Guards against a stall that counts only when it times out."""
+        backends = make_backends()
+        backends.faults['s4'] = Fault.STALL
+        backends.run(WARM_UP_S + 3, RATE)
+        found = backends.stages('pooled')[0]
+        assert found[0] - WARM_UP_S < 2
+        assert max(backends.starts['s4']) - WARM_UP_S < 3
+
+    def test_local_evidence(self) -> None:
+        """Guards against hosts that need an aggregator to see a stall."""
+        backends = make_backends(evidence='local')
+        backends.faults['s4'] = Fault.STALL
+        backends.run(WARM_UP_S + 6, RATE)
+        assert not backends.stages('pooled')
+        assert 's4' in {entry[1] for entry in backends.stages('local')}
+        assert not backends.fleet.sent_bytes
+
+    def test_readmitted_after_trials(self) -> None:
+        """Guards against a server that stays out for ever."""
+        backends = make_backends()
+        backends.faults['s4'] = Fault.STALL
+        backends.run(WARM_UP_S + 3, RATE)
+        backends.faults.clear()
+        backends.run(WARM_UP_S + 20, RATE)
+        stages = [
+            stage
+            for _, server, stage in backends.stages('pooled')
+            if server == 's4' and stage != 'suspect'
+        ]
+        assert stages == ['out', 'trial', 'ramp', 'in-use']
+        assert backends.weights('h1')['s4'] == 1
+
+    def test_no_trial_with_bookings(self) -> None:
+        """Guards against trying a sick server with an unrepeatable call."""
+        backends = make_backends()
+        backends.faults['s4'] = Fault.STALL
+        backends.run(WARM_UP_S + 3, RATE)
+        tried = len(backends.starts['s4'])
+        backends.run(WARM_UP_S + 10, RATE, method='POST')
+        assert len(backends.starts['s4']) == tried
+
+    def test_longer_hold_for_flapping(self) -> None:
+        """Guards against a flapping server that comes back at full pace."""
+        backends = make_backends()
+        for start in range(WARM_UP_S, 60, 4):
+            backends.faults['s4'] = Fault.STALL
+            backends.run(start + 2, RATE)
+            backends.faults.clear()
+            backends.run(start + 4, RATE)
+        outs = [
+            at for at, _, stage in backends.stages('pooled') if stage == 'out'
+        ]
+        assert len(outs) <= 5
+
+
+class TestCommonCauses:
+    """Faults that are not the server's own eject nothing."""
+
+    def test_overload(self) -> None:
+        """Guards against ejecting servers that are all slow."""
+        backends = make_backends()
+        backends.latency *= 10
+        backends.run(WARM_UP_S + 8, RATE)
+        assert not ejected(backends)
+
+    def test_cold_third(self) -> None:
+        """Guards against ejecting servers that start cold."""
+        backends = make_backends()
+        backends.faults.update(dict.fromkeys(('s0', 's3', 's6'), Fault.COLD))
+        backends.run(WARM_UP_S + 5, RATE)
+        assert not ejected(backends)
+
+    def test_path(self) -> None:
+        """Guards against one host's broken path that ejects for all."""
+        backends = make_backends()
+        backends.path_faults.add(('h2', 's4'))
+        backends.run(WARM_UP_S + 12, RATE)
+        assert not ejected(backends)
+        assert backends.weights('h2')['s4'] == 0
+        assert backends.weights('h3')['s4'] == 1
+
+    def test_lost_zone(self) -> None:
+        """Guards against keeping a lost zone, and against the wrong one."""
+        backends = make_backends()
+        zone = dict.fromkeys(('s0', 's3', 's6'), Fault.REFUSES)
+        backends.faults.update(zone)
+        backends.run(WARM_UP_S + 5, RATE)
+        assert ejected(backends) == set(zone)
+
+    def test_pause_of_a_host(self) -> None:
+        """Guards against a paused host that takes its pause for a stall."""
+        backends = make_backends()
+        backends.fleet.pause('h2', 3)
+        backends.run(WARM_UP_S + 6, RATE)
+        assert not ejected(backends)
+        assert not backends.stages('local')
+
+
+class TestConnections:
+    """Silent connections are replaced."""
+
+    def test_new_connection(self) -> None:
+        """Guards against reusing connections that have gone silent."""
+        kernel = make_kernel(ejection='peer-comparison')
+        dials = {}
+        for number in range(20):
+            now = 1 + number / 10
+            for effect in kernel.handle(arrival(number), now):
+                if type(effect).__name__ == 'Dial':
+                    dials[number] = effect
+            done = AttemptFinished(
+                dials[number].attempt_id, AttemptResult.COMPLETE, 200
+            )
+            kernel.handle(done, now + 0.02)
+        effects = kernel.handle(arrival(90), 3.1)
+        stalled = next(
+            effect for effect in effects if type(effect).__name__ == 'Dial'
+        )
+        closed = []
+        for step in range(32, 50):
+            for effect in kernel.handle(arrival(100 + step), step / 10):
+                if isinstance(effect, CloseConnections):
+                    closed.append(effect.server)
+        assert closed[0] == stalled.server
+        health = kernel.service('health')
+        assert health.needs_new_connection(stalled.server, 5)
+
+
+class TestConsecutiveFailures:
+    """The baseline that counts failures in a row on each host."""
+
+    def test_ejects(self) -> None:
+        """Guards against comparing with a baseline that does nothing."""
+        backends = make_backends(ejection='consecutive-failures')
+        backends.faults['s4'] = Fault.REFUSES
+        backends.run(WARM_UP_S + 10, RATE)
+        weights = [
+            backends.weights(host)['s4'] for host in backends.fleet.hosts
+        ]
+        assert 0 in weights
