--- a/teaselcove/admission.py
+++ b/teaselcove/admission.py
@@ -32,6 +32,7 @@
         exclude: Servers that have failed this request.
         again: Whether the request has already left the queue once.
         not_before: When it may join the queue.
+        idempotent: Whether the call may be repeated.
     """
 
     request_id: RequestId
@@ -42,6 +43,7 @@
     exclude: frozenset[BackendServerId] = frozenset()
     again: bool = False
     not_before: Instant = Instant(0)
+    idempotent: bool = False
 
 
 class Queue(Protocol):
@@ -217,9 +219,13 @@
         would hold up those behind it.
         """
         routing = self.kernel.service('routing')
-        server = routing.pick(ticket.service, ticket.exclude, now)
+        server = routing.pick(
+            ticket.service, ticket.exclude, now, ticket.idempotent
+        )
         if server is None and ticket.exclude:
-            server = routing.pick(ticket.service, frozenset(), now)
+            server = routing.pick(
+                ticket.service, frozenset(), now, ticket.idempotent
+            )
         return server
 
     def retry_later(self, service: ServiceId, now: Instant) -> None:
--- a/teaselcove/configuration.py
+++ b/teaselcove/configuration.py
@@ -230,6 +230,10 @@
         """Returns a service, or None."""
         return self.state.tables.find('services', name)
 
+    def service_of(self, server: BackendServerId) -> Service | None:
+        """Returns the service of a backend server, or None."""
+        return self.state.tables.services.service_of(server)
+
     def key(self, name: KeyId) -> Key | None:
         """Returns a key, or None."""
         return self.state.tables.find('keys', name)
--- a/teaselcove/fleet.py
+++ b/teaselcove/fleet.py
@@ -93,7 +93,9 @@
         now: Present virtual time in seconds.
         outcomes: Answer and refusal effects by request id.
         decisions: All decisions as (time, host, effect), if kept.
-        sent: Messages and bytes by host.
+        sent: Messages by host.
+        sent_bytes: Bytes of messages by host.
+        sent_by_tag: Messages of all hosts by the tag of their type.
         unlisted: Running hosts that the list does not show.
         cuts: Links cut one way, as (sender, recipient).
         loss: Share of messages that are lost.
@@ -117,6 +119,7 @@
         self.keep_decisions = False
         self.sent: Counter[HostId] = Counter()
         self.sent_bytes: Counter[HostId] = Counter()
+        self.sent_by_tag: Counter[str] = Counter()
         self.unlisted: set[HostId] = set()
         self.cuts: set[tuple[HostId, HostId]] = set()
         self.loss = float(0)
@@ -307,6 +310,7 @@
         """Sends a message over a link that may lose or repeat it."""
         body = messages.encode(effect.message)
         self.sent[name] += 1
+        self.sent_by_tag[messages.tags[type(effect.message)]] += 1
         self.sent_bytes[name] += len(body)
         lost = self.random.random() < self.loss
         if lost or (name, effect.host) in self.cuts:
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -123,6 +123,7 @@
             state.tried | self.kernel.service('retries').hurt(state),
             state.attempts > 0,
             Instant(now + pause),
+            state.idempotent,
         )
         refusal = self.kernel.service('admission').offer(ticket, now)
         if refusal is not None:
@@ -152,7 +153,8 @@
         state.attempts += 1
         self.by_attempt[attempt.attempt_id] = attempt
         self.kernel.service('routing').started(attempt, now)
-        self.kernel.service('health').started(attempt, now)
+        health = self.kernel.service('health')
+        health.started(attempt, now)
         self.kernel.service('admission').started(attempt, now)
         self.kernel.service('retries').started(state, attempt, now)
         self.kernel.service('hedging').started(state, attempt, now)
@@ -170,7 +172,9 @@
                 # A kept connection may break just as the request is written;
                 # then nobody knows whether the call ran.
                 # After silence, only a new connection may work.
-                new_connection=not state.idempotent or state.after_silence,
+                new_connection=not state.idempotent
+                or state.after_silence
+                or health.needs_new_connection(server.id, now),
                 echo_request_id=service.echo_request_id,
             )
         )
--- a/teaselcove/tables.py
+++ b/teaselcove/tables.py
@@ -297,30 +297,38 @@
     def __init__(self, packing: Packing) -> None:
         super().__init__(packing)
         self.by_server = HashIndex()
-        self.addresses: dict[str, str] = {}
+        self.owners: dict[str, Service] = {}
 
-    def server_address(self, name: str) -> str | None:
-        """Returns the address of a backend server, or None."""
-        cached = self.addresses.get(name)
+    def service_of(self, server_id: str) -> Service | None:
+        """Returns the service of a backend server, or None."""
+        cached = self.owners.get(server_id)
         if cached is not None:
             return cached
-        for place in self.by_server.find(name):
-            for server in self.unpack_at(place).servers:
-                if server.id == name:
-                    self.keep_address(name, server.address)
-                    return server.address
+        for place in self.by_server.find(server_id):
+            service = self.unpack_at(place)
+            if any(server.id == server_id for server in service.servers):
+                return self.keep_owner(server_id, service)
         return None
 
-    def keep_address(self, name: str, address: str) -> None:
-        """Keeps an address for the next look-up."""
-        if len(self.addresses) >= CACHED_ENTITIES:
-            self.addresses.clear()
-        self.addresses[name] = address
+    def keep_owner(self, server_id: str, service: Service) -> Service:
+        """Keeps the service of a backend server for the next look-up."""
+        if len(self.owners) >= CACHED_ENTITIES:
+            self.owners.clear()
+        self.owners[server_id] = service
+        return service
+
+    def server_address(self, server_id: str) -> str | None:
+        """Returns the address of a backend server, or None."""
+        service = self.service_of(server_id)
+        for server in service.servers if service else ():
+            if server.id == server_id:
+                return server.address
+        return None
 
     def rebuild(self, places: Sequence[int]) -> None:
         """Builds the indexes for rows at some places."""
         super().rebuild(places)
-        self.addresses.clear()
+        self.owners.clear()
         self.by_server.rebuild(
             (server.id, place)
             for place in places
@@ -336,7 +344,7 @@
     def unindex(self, entity: Service, place: int) -> None:
         """Removes a service from the indexes."""
         super().unindex(entity, place)
-        self.addresses.clear()
+        self.owners.clear()
         for server in entity.servers:
             self.by_server.remove(server.id, place)
 
