--- a/standins/rate_load.py
+++ b/standins/rate_load.py
@@ -83,6 +83,7 @@
     Attributes:
         wrongful: Refusals of requests that one ideal bucket admits.
         verdicts: Number of verdicts by state.
+        offered: Number of requests by organisation.
         waits: Seconds from arrival to each verdict.
     """
 
@@ -92,11 +93,13 @@
         self.arrived: dict[RequestId, Arrival] = {}
         self.verdicts: Counter[RateState] = Counter()
         self.wrongful: Counter[OrganisationId] = Counter()
+        self.offered: Counter[OrganisationId] = Counter()
         self.ideal_admitted = 0
         self.waits: list[float] = []
 
     def arrive(self, event: TokenWanted, now: float) -> None:
         """Notes a request and what the ideal bucket does with it."""
+        self.offered[event.organisation] += 1
         ideal = self.ideal[event.organisation]
         has_room = ideal.has_room(now)
         if has_room:
