--- a/standins/rate_comparison.py
+++ b/standins/rate_comparison.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from standins.fleet import Fleet
 from standins.rate_load import Judge, TokenWanted, make_fleet
 from teaselcove.entities import Organisation
+from teaselcove.fleet import Fleet
 from teaselcove.ids import HostId
 from teaselcove.rates import RateState
 from teaselcove.slices import slice_of
--- /dev/null
+++ b/teaselcove/commands/main.py
@@ -0,0 +1,40 @@
+"""Entry point of the `teaselcove` command line."""
+
+from pathlib import Path
+
+import fire
+
+from teaselcove.commands import changes, keyring, measure, status
+from teaselcove.commands.output import ExitCode, stop
+from teaselcove.errors import FieldError
+
+
+def serve(settings: str) -> None:
+    """Runs a host of the fleet.
+
+    Args:
+        settings: File with the settings of the host.
+    """
+    from teaselcove import daemon  # noqa: WPS433
+
+    daemon.serve(Path(str(settings)))
+
+
+COMMANDS = {
+    'validate': changes.validate,
+    'plan': changes.plan,
+    'apply': changes.apply,
+    'rollback': changes.rollback,
+    'status': status.status,
+    'keys': {'issue': keyring.issue, 'withdraw': keyring.withdraw},
+    'measure': measure.run_measure,
+    'serve': serve,
+}
+
+
+def main() -> None:
+    """Runs the command that the arguments name."""
+    try:
+        fire.Fire(COMMANDS, name='teaselcove')
+    except FieldError as error:
+        stop(ExitCode.INVALID, str(error))
--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -4,10 +4,17 @@
 """
 
 from teaselcove import (
+    acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
+    drain,
     escrow,
+    fair_queue,
     grants,
     health,
     keys,
@@ -17,18 +24,29 @@
     placement,
     proposals,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 from teaselcove.kernel import Kernel
 
 SERVICE_MODULES = (
+    acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
+    drain,
     escrow,
     grants,
+    fair_queue,
     health,
     keys,
     lease,
@@ -37,9 +55,13 @@
     placement,
     proposals,
     rates,
+    recovery,
+    relay,
     requests,
     retries,
     routing,
+    snapshots,
+    transfers,
 )
 
 __all__ = ('SERVICE_MODULES', 'Kernel')
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -1,15 +1,12 @@
 """State machine of each request from arrival to answer."""
 
 import itertools
-from enum import Enum
-
-import msgspec
 
 from teaselcove.admission import Ticket
 from teaselcove.attempts import Attempt
 from teaselcove.claims import ClaimResult, ClaimState
 from teaselcove.effects import Answer, CancelAttempt, Dial, Refuse
-from teaselcove.entities import Route, Server
+from teaselcove.entities import Server
 from teaselcove.errors import Outcome, Reason, Refusal, not_run
 from teaselcove.events import (
     AttemptFinished,
@@ -18,68 +15,18 @@
     RequestArrived,
 )
 from teaselcove.ids import (
-    OPEN_ORGANISATION,
     AttemptId,
-    BackendServerId,
     Instant,
-    KeyId,
     OrganisationId,
     RequestId,
-    TimerId,
 )
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.rates import RateState, RateVerdict
+from teaselcove.request_state import RequestState, Stage
 from teaselcove.retries import NOT_STARTED, RetryVerdict
 
-MS_PER_S = 1000
-
-
-class Stage(Enum):
-    """What a request is waiting for."""
-
-    ARRIVED = 'arrived'
-    RATE = 'rate'
-    CLAIM = 'claim'
-    QUEUED = 'queued'
-    RUNNING = 'running'
-
-
-class Identity(msgspec.Struct, frozen=True):
-    """For whom a request runs; the key id is None on open routes."""
-
-    organisation: OrganisationId
-    key_id: KeyId | None
-
-
-class RequestState(msgspec.Struct):
-    """A request in progress.
-
-    Attributes:
-        deadline: When the caller stops waiting.
-        claimed: Whether a claim was recorded for it.
-        may_have_run: Whether an attempt may have started at a server.
-        caller_gone: Whether nobody waits for the answer.
-        tried: Servers that failed it.
-    """
-
-    arrival: RequestArrived
-    route: Route
-    identity: Identity
-    idempotent: bool
-    deadline: Instant
-    stage: Stage = Stage.ARRIVED
-    claimed: bool = False
-    may_have_run: bool = False
-    caller_gone: bool = False
-    attempts: int = 0
-    attempt: Attempt | None = None
-    tried: frozenset[BackendServerId] = frozenset()
-    timer: TimerId | None = None
-
-    @property
-    def request_id(self) -> RequestId:
-        """The id of the request."""
-        return self.arrival.request_id
+# Decision lines give times to a tenth of a millisecond.
+ELAPSED_DIGITS = 4
 
 
 @services.register('requests')
@@ -95,7 +42,8 @@
     @on(RequestArrived)
     def request_arrived(self, event: RequestArrived, now: Instant) -> None:
         """Checks route and key, then asks for a token of the rate."""
-        accepted = self.accept(event, now)
+        acceptance = self.kernel.service('acceptance')
+        accepted = acceptance.accept(event, now)
         if isinstance(accepted, Refusal):
             self.emit_refusal(event.request_id, accepted)
             return
@@ -111,50 +59,6 @@
         if verdict.state is not RateState.PENDING:
             self.rate_decided(event.request_id, verdict, now)
 
-    def accept(
-        self, event: RequestArrived, now: Instant
-    ) -> RequestState | Refusal:
-        """Returns the state of a valid request, or its refusal."""
-        configuration = self.kernel.service('configuration')
-        if not configuration.version:
-            return not_run(Reason.NO_CONFIGURATION)
-        route = configuration.route_for(event.path)
-        if route is None:
-            return not_run(Reason.NO_ROUTE)
-        identity = self.identify(event, route, now)
-        if isinstance(identity, Refusal):
-            return identity
-        if self.kernel.service('retries').is_crashing(event.body_digest, now):
-            return not_run(Reason.CRASHING_REQUEST)
-        timeout = route.timeout_ms / MS_PER_S
-        if event.timeout is not None:
-            timeout = min(timeout, event.timeout)
-        return RequestState(
-            event,
-            route,
-            identity,
-            route.is_idempotent(event.method, event.path),
-            Instant(now + timeout),
-        )
-
-    def identify(
-        self, event: RequestArrived, route: Route, now: Instant
-    ) -> Identity | Refusal:
-        """Returns for whom a request runs, or why it may not."""
-        if event.key is None and route.open:
-            return Identity(OPEN_ORGANISATION, None)
-        if not self.kernel.service('configuration').may_serve(now):
-            return not_run(Reason.ISOLATED)
-        key = None
-        if event.key is not None:
-            key = self.kernel.service('keys').check(event.key)
-        if key is None:
-            return not_run(Reason.BAD_KEY)
-        allowed = route.organisations
-        if allowed and key.organisation not in allowed:
-            return not_run(Reason.NOT_ALLOWED)
-        return Identity(key.organisation, key.id)
-
     def rate_decided(
         self, request_id: RequestId, verdict: RateVerdict, now: Instant
     ) -> None:
@@ -199,8 +103,10 @@
         elif claim.refusal is not None:
             self.refuse(state, claim.refusal, now)
 
-    def enqueue(self, state: RequestState, now: Instant) -> None:
-        """Queues a request for a slot of its service."""
+    def enqueue(
+        self, state: RequestState, now: Instant, pause: float = 0
+    ) -> None:
+        """Queues a request for a slot of its service, after a pause."""
         state.stage = Stage.QUEUED
         organisation = self.kernel.service('configuration').organisation(
             state.identity.organisation
@@ -212,6 +118,8 @@
             organisation.weight if organisation else 1,
             state.deadline,
             state.tried,
+            state.attempts > 0,
+            Instant(now + pause),
         )
         refusal = self.kernel.service('admission').offer(ticket, now)
         if refusal is not None:
@@ -222,8 +130,9 @@
     ) -> None:
         """Starts an attempt, unless the key was withdrawn meanwhile."""
         state = self.states[request_id]
-        if not self.is_key_in_force(state):
-            self.refuse(state, not_run(Reason.BAD_KEY), now)
+        refusal = self.dispatch_refusal(state, now)
+        if refusal is not None:
+            self.refuse(state, refusal, now)
             return
         attempt = Attempt(
             AttemptId(next(self.attempt_ids)),
@@ -252,16 +161,25 @@
                 server.address,
                 state.identity.organisation,
                 state.deadline - now,
+                # A kept connection may break just as the request is written;
+                # then nobody knows whether the call ran.
+                new_connection=not state.idempotent,
                 echo_request_id=service.echo_request_id,
             )
         )
 
-    def is_key_in_force(self, state: RequestState) -> bool:
-        """Returns whether the request's key is still valid."""
+    def dispatch_refusal(
+        self, state: RequestState, now: Instant
+    ) -> Refusal | None:
+        """Returns why a request may not run any more, or None."""
         key_id = state.identity.key_id
-        if key_id is None:
-            return True
-        return self.kernel.service('configuration').key(key_id) is not None
+        configuration = self.kernel.service('configuration')
+        if key_id is not None and configuration.key(key_id) is None:
+            return not_run(Reason.BAD_KEY)
+        claims = self.kernel.service('claims')
+        if state.claimed and not claims.may_dial(state.request_id, now):
+            return not_run(Reason.CLAIM_UNAVAILABLE, 1)
+        return None
 
     @on(AttemptFinished)
     def attempt_finished(self, event: AttemptFinished, now: Instant) -> None:
@@ -269,6 +187,15 @@
         attempt = self.by_attempt.pop(event.attempt_id, None)
         if attempt is None:
             return
+        self.kernel.decide(
+            'attempt',
+            request=attempt.request_id,
+            organisation=attempt.organisation,
+            server=attempt.server,
+            result=event.result.value,
+            status=event.status,
+            elapsed=round(now - attempt.started_at, ELAPSED_DIGITS),
+        )
         routing = self.kernel.service('routing')
         routing.finished(attempt, event.result, now)
         if event.leaving:
@@ -279,7 +206,7 @@
         state = self.states.get(attempt.request_id)
         if state is not None and state.attempt is attempt:
             self.settle(state, event, now)
-        self.kernel.service('admission').dispatch(attempt.service, now)
+        self.kernel.service('admission').finished(attempt, event, now)
 
     def settle(
         self, state: RequestState, event: AttemptFinished, now: Instant
@@ -287,10 +214,17 @@
         """Decides what follows the end of a request's attempt."""
         attempt = state.attempt
         state.attempt = None
-        if event.result not in NOT_STARTED:
+        if event.result in NOT_STARTED:
+            state.not_started += 1
+        else:
             state.may_have_run = True
         verdict = self.kernel.service('retries').decide(
-            attempt, event.result, event.status, state.attempts, now
+            attempt,
+            event.result,
+            event.status,
+            state.attempts,
+            state.not_started,
+            now,
         )
         if verdict is RetryVerdict.RETRY and not state.caller_gone:
             self.kernel.decide(
@@ -301,7 +235,8 @@
                 attempts=state.attempts,
             )
             state.tried = state.tried | {attempt.server}
-            self.enqueue(state, now)
+            pause = self.kernel.service('retries').pause(state.not_started)
+            self.enqueue(state, now, pause)
         elif event.result is AttemptResult.COMPLETE:
             self.answer(state, event, now)
         else:
@@ -327,7 +262,14 @@
     def refuse(
         self, state: RequestState, refusal: Refusal, now: Instant
     ) -> None:
-        """Ends a request with a refusal."""
+        """Ends a request with a refusal.
+
+        A refusal after an attempt that may have run never says "not run".
+        """
+        if state.may_have_run and refusal.outcome is Outcome.NOT_RUN:
+            refusal = Refusal(
+                Outcome.UNKNOWN, refusal.reason, refusal.retry_after
+            )
         self.drop(state, now)
         if state.claimed:
             self.kernel.service('claims').finish(
@@ -362,16 +304,23 @@
     def expire(self, state: RequestState, now: Instant) -> None:
         """Ends a request whose deadline has passed."""
         state.timer = None
+        self.give_up(state, Reason.DEADLINE, now)
+
+    def give_up(
+        self, state: RequestState, reason: Reason, now: Instant
+    ) -> None:
+        """Ends a request early with what is known about its run."""
         self.abandon(state, now)
-        outcome = Outcome.NOT_RUN
-        if state.may_have_run:
-            outcome = Outcome.UNKNOWN
-        self.refuse(state, Refusal(outcome, Reason.DEADLINE), now)
+        outcome = Outcome.UNKNOWN if state.may_have_run else Outcome.NOT_RUN
+        self.refuse(state, Refusal(outcome, reason), now)
 
     def abandon(self, state: RequestState, now: Instant) -> None:
         """Stops whatever a request is waiting for."""
         if state.stage is Stage.RATE:
             self.kernel.service('rates').cancel(state.request_id, now)
+        if state.stage is Stage.CLAIM:
+            claims = self.kernel.service('claims')
+            state.may_have_run |= claims.cancel(state.request_id, now)
         if state.stage is Stage.QUEUED:
             self.kernel.service('admission').cancel(state.request_id, now)
         if state.attempt is not None:
@@ -391,8 +340,4 @@
             return
         state.caller_gone = True
         if state.attempt is None or state.idempotent:
-            self.abandon(state, now)
-            outcome = Outcome.NOT_RUN
-            if state.may_have_run:
-                outcome = Outcome.UNKNOWN
-            self.refuse(state, Refusal(outcome, Reason.DEADLINE), now)
+            self.give_up(state, Reason.DEADLINE, now)
--- a/teaselcove/settings.py
+++ b/teaselcove/settings.py
@@ -29,8 +29,9 @@
     limiter: str = 'escrow'
     balancer: str = 'least-in-flight'
     ejection: str = 'none'
-    queue: str = 'fifo'
+    queue: str = 'weighted-fair'
     placement: str = 'rendezvous'
+    claims: str = 'majority'
 
 
 class HostSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
