--- a/standins/rate_load.py
+++ b/standins/rate_load.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from standins.fleet import Fleet
 from teaselcove.allocation import Allocator
 from teaselcove.configuration import STREAM, ApplyRecord
 from teaselcove.entities import Entities, Organisation
+from teaselcove.fleet import Fleet
 from teaselcove.ids import HostId, Instant, OrganisationId, RequestId
 from teaselcove.kernel import Kernel, on
 from teaselcove.ownership import STREAM as OWNERSHIP
@@ -83,6 +83,7 @@
     Attributes:
         wrongful: Refusals of requests that one ideal bucket admits.
         verdicts: Number of verdicts by state.
+        offered: Number of requests by organisation.
         waits: Seconds from arrival to each verdict.
     """
 
@@ -92,11 +93,13 @@
         self.arrived: dict[RequestId, Arrival] = {}
         self.verdicts: Counter[RateState] = Counter()
         self.wrongful: Counter[OrganisationId] = Counter()
+        self.offered: Counter[OrganisationId] = Counter()
         self.ideal_admitted = 0
         self.waits: list[float] = []
 
     def arrive(self, event: TokenWanted, now: float) -> None:
         """Notes a request and what the ideal bucket does with it."""
+        self.offered[event.organisation] += 1
         ideal = self.ideal[event.organisation]
         has_room = ideal.has_room(now)
         if has_room:
@@ -129,13 +132,13 @@
     """Stands in for the requests service of a host.
 
     Attributes:
-        states: Requests in flight, which heartbeats count; always none.
+        states: Requests in progress, whose number heartbeats carry.
     """
 
     def __init__(self, kernel: Kernel, judge: Judge) -> None:
-        self.states: dict[RequestId, None] = {}
         self.kernel = kernel
         self.judge = judge
+        self.states: dict[RequestId, None] = {}
 
     @on(TokenWanted)
     def token_wanted(self, event: TokenWanted, now: Instant) -> None:
--- a/teaselcove/fleet.py
+++ b/teaselcove/fleet.py
@@ -77,6 +77,7 @@
         paused_until: When a frozen process goes on.
         backlog: Events that wait while it is frozen.
         wake_at: Time of the entry in the fleet's heap of timers.
+        is_listed: Whether the list shows it while it runs.
     """
 
     kernel: Kernel
@@ -84,6 +85,7 @@
     paused_until: float = 0
     backlog: list[Any] = []
     wake_at: float | None = None
+    is_listed: bool = True
 
 
 class Fleet:
@@ -96,7 +98,6 @@
         sent: Messages by host.
         sent_bytes: Bytes of messages by host.
         sent_by_tag: Messages of all hosts by the tag of their type.
-        unlisted: Running hosts that the list does not show.
         cuts: Links cut one way, as (sender, recipient).
         loss: Share of messages that are lost.
         repeat: Share of messages that arrive twice.
@@ -120,7 +121,6 @@
         self.sent: Counter[HostId] = Counter()
         self.sent_bytes: Counter[HostId] = Counter()
         self.sent_by_tag: Counter[str] = Counter()
-        self.unlisted: set[HostId] = set()
         self.cuts: set[tuple[HostId, HostId]] = set()
         self.loss = float(0)
         self.repeat = float(0)
@@ -151,7 +151,7 @@
         entries = {
             name: host.entry
             for name, host in self.hosts.items()
-            if name not in self.unlisted
+            if host.is_listed
         }
         lag = LIST_LAG_S if self.listed else 0
         self.listed.append((self.now + lag, entries))
