--- a/teaselcove/claim_endings.py
+++ b/teaselcove/claim_endings.py
@@ -17,9 +17,11 @@
 from teaselcove.kernel import Kernel, on, services
 
 # A message and its confirmation take 2 ms between zones. Five tries cover
-# several lost messages; after that an owner asks when it needs to know.
+# several lost messages; after that an owner asks when it needs to know, and
+# the answers of this many claims are kept for it (at most 16 KiB each).
 RESEND_INTERVAL_S = 0.2
 SEND_COUNT = 5
+UNCONFIRMED_LIMIT = 128
 # 600 s of 30 claims per second; an entry takes about 200 bytes.
 ENDED_LIMIT = 18_000
 
@@ -46,6 +48,7 @@
         ended: Outcomes of the claims that may have run, by number.
         forgotten: Highest number whose outcome was dropped.
         unconfirmed: Outcomes that some owners have not confirmed.
+        kept: Outcomes with answers that some owners never confirmed.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -55,6 +58,7 @@
         self.ended: OrderedDict[int, Outcome] = OrderedDict()
         self.forgotten = 0
         self.unconfirmed: dict[int, Ending] = {}
+        self.kept: OrderedDict[int, ClaimEnd] = OrderedDict()
 
     def begin(self) -> ClaimId:
         """Returns the id of a new claim."""
@@ -85,6 +89,7 @@
             return
         if ending.sent == SEND_COUNT:
             self.unconfirmed.pop(number)
+            self.keep(ending)
             return
         ending.sent += 1
         for host in sorted(ending.waiting):
@@ -94,6 +99,13 @@
             functools.partial(self.tell, number),
         )
 
+    def keep(self, ending: Ending) -> None:
+        """Keeps an outcome with an answer for owners that ask for it."""
+        if ending.message.answer is not None:
+            self.kept[ending.message.claim_id.number] = ending.message
+        if len(self.kept) > UNCONFIRMED_LIMIT:
+            self.kept.popitem(last=False)
+
     @on(ClaimEndAck)
     def confirmed(self, sender: HostId, ack: ClaimEndAck, now: Instant) -> None:
         """Notes that an owner knows an outcome."""
@@ -110,7 +122,7 @@
         number = query.claim_id.number
         if query.claim_id.incarnation != own or number in self.active:
             return
-        end = ClaimEnd(
+        end = self.kept.get(number) or ClaimEnd(
             query.slice_id,
             query.claim_id,
             query.key,
--- a/teaselcove/claim_rounds.py
+++ b/teaselcove/claim_rounds.py
@@ -39,9 +39,11 @@
 # pause, so that one of them wins; the pause doubles up to the highest.
 FIRST_PAUSE_S = 0.02
 MAX_PAUSE_S = 0.16
-# A resend waits this long for a call that runs; the default timeout of a
-# route is 2 s, so the caller gets the reason and not a bare deadline.
-JOIN_LIMIT_S = 1
+# A resend waits this long for a call that runs, and a claim this long for two
+# owners. Both are below the usual timeouts of 1 to 2 s, so that the caller
+# gets the reason and not a bare deadline.
+JOIN_LIMIT_S = 0.8
+AVAILABILITY_LIMIT_S = 0.5
 RETRY_AFTER_S = 1
 # A claim must not be dialled when the owners may be about to forget it. The
 # claim is counted from before the owners record it.
@@ -222,10 +224,12 @@
     def end_round(self, claim: Claim, now: Instant) -> None:
         """Releases the votes of a lost round; tries again or gives up."""
         self.end_current(claim, Outcome.NOT_RUN, None, now)
+        waited = now - claim.since
+        limit = JOIN_LIMIT_S if claim.may_have_run else AVAILABILITY_LIMIT_S
         if claim.is_lost:
             refusal = Refusal(Outcome.UNKNOWN, Reason.CLAIM_UNKNOWN)
             self.refuse(claim, refusal, now)
-        elif now - claim.since < JOIN_LIMIT_S:
+        elif waited < limit:
             spread = self.kernel.random.uniform(1, 2)
             self.set_timer(claim, now + claim.pause * spread, self.start_round)
             claim.pause = min(MAX_PAUSE_S, claim.pause * 2)
--- a/teaselcove/claim_sync.py
+++ b/teaselcove/claim_sync.py
@@ -123,17 +123,22 @@
             self.syncs.pop(place)
             return
         self.refresh_term(place, sync)
-        others = [
-            seat
-            for seat in ownership.owners(place.slice_id)
-            if seat.index != place.index
-        ]
-        missing = [seat for seat in others if seat.index not in sync.received]
+        missing = self.missing(place, sync)
         if not missing or now - sync.since >= SYNC_LIMIT_S:
             self.finish(place, now)
+            return
         for seat in missing:
             self.ask(place, sync, seat, now)
 
+    def missing(self, place: SeatKey, sync: Sync) -> list[Seat]:
+        """Returns the other owners whose claims are not complete here."""
+        owners = self.kernel.service('ownership').owners(place.slice_id)
+        return [
+            seat
+            for seat in owners
+            if seat.index != place.index and seat.index not in sync.received
+        ]
+
     def refresh_term(self, place: SeatKey, sync: Sync) -> None:
         """Starts again if the owners of the slice have changed."""
         term = self.term(place.slice_id)
@@ -214,18 +219,28 @@
     def note_page(
         self, page: ClaimsPage, senders: set[int], now: Instant
     ) -> None:
-        """Notes which claims have been received, and goes on at once."""
-        for place in sorted(self.syncs):
+        """Notes which claims have been received.
+
+        Only a page that others follow is answered at once: an owner that
+        cannot give its claims yet is asked again at the next interval.
+        """
+        waiting = [
+            place
+            for place in sorted(self.syncs)
+            if place.slice_id == page.slice_id
+            and self.syncs[place].term == page.term
+        ]
+        for place in waiting:
             sync = self.syncs[place]
-            if place.slice_id != page.slice_id or sync.term != page.term:
-                continue
             for index in senders - {place.index}:
-                if sync.after.get(index) == page.after:
-                    self.note_place(sync, index, page)
-            self.advance(place, now)
+                self.note_place(sync, index, page)
+            if not page.is_last or not self.missing(place, sync):
+                self.advance(place, now)
 
     def note_place(self, sync: Sync, index: int, page: ClaimsPage) -> None:
-        """Notes the page of one place."""
+        """Notes the page of one place unless it is a repeated one."""
+        if sync.after.get(index) != page.after:
+            return
         if page.claims:
             sync.after[index] = page.claims[-1].key
         if page.is_last:
--- a/teaselcove/drain.py
+++ b/teaselcove/drain.py
@@ -2,7 +2,7 @@
 
 from teaselcove.effects import Exit
 from teaselcove.errors import Reason
-from teaselcove.events import DrainRequested
+from teaselcove.events import DrainRequested, PauseDetected
 from teaselcove.ids import Instant
 from teaselcove.kernel import Kernel, on, services
 
@@ -29,28 +29,37 @@
 
     Attributes:
         requested_at: When the drain was requested, or None.
+        exit_from: When the process may end at the earliest.
     """
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.requested_at: Instant | None = None
+        self.exit_from = Instant(0)
 
     @on(DrainRequested)
     def drain_requested(self, event: DrainRequested, now: Instant) -> None:
         """Starts to wait; a repeated request changes nothing."""
         if self.requested_at is None:
             self.requested_at = now
+            self.exit_from = Instant(now + GRACE_S)
             self.kernel.decide('drain', in_flight=self.in_flight())
             self.check(now)
 
+    @on(PauseDetected)
+    def pause_detected(self, event: PauseDetected, now: Instant) -> None:
+        """Lets requests that waited during a pause be read before the exit."""
+        self.exit_from = Instant(now + GRACE_S)
+
     def check(self, now: Instant) -> None:
         """Exits if nothing is left to do or the limit is reached."""
         elapsed = now - (self.requested_at or now)
         limit = self.kernel.settings.drain_limit - EXIT_MARGIN_S
-        is_over = elapsed >= limit
+        may_exit = now >= self.exit_from
+        is_over = may_exit and elapsed >= limit
         if is_over:
             self.give_up(now)
-        if is_over or self.is_done(elapsed):
+        if is_over or (may_exit and self.is_done(elapsed)):
             self.kernel.decide('exit', elapsed=elapsed)
             self.kernel.emit(Exit())
         else:
@@ -71,7 +80,7 @@
         Args:
             elapsed: Seconds since the drain was requested.
         """
-        if self.in_flight() or elapsed < GRACE_S:
+        if self.in_flight():
             return False
         if elapsed >= HANDOVER_LIMIT_S:
             return True
--- a/teaselcove/fleet.py
+++ b/teaselcove/fleet.py
@@ -264,7 +264,9 @@
     def carry_out(self, name: HostId, emitted: list[Any]) -> None:
         """Carries out the effects of a host."""
         for effect in emitted:
-            self.carry_out_one(name, effect)
+            # A host that exits sends nothing after that.
+            if name in self.hosts:
+                self.carry_out_one(name, effect)
 
     def carry_out_one(self, name: HostId, effect: Any) -> None:
         """Carries out one effect."""
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -85,6 +85,18 @@
         table = fleet.hosts['host-2'].kernel.service('ownership').table
         assert not table.by_host['host-1']
 
+    def test_pause(self) -> None:
+        """Guards against an exit before requests of a pause are read."""
+        fleet = draining_fleet(1)
+        fleet.run_until(8.5)
+        fleet.pause('host-1', 14)
+        fleet.run_until(9)
+        fleet.deliver('host-1', arrival(1, key='wrong'))
+        fleet.run_until(23)
+        assert fleet.outcomes['request-1']
+        fleet.run_until(24)
+        assert 'host-1' not in fleet.hosts
+
     def test_log_down(self) -> None:
         """Guards against a shutdown that waits for the log."""
         fleet = draining_fleet(6)
