--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -385,10 +385,10 @@
         assert claims.may_dial(request, now)
         late = Instant(now + DIAL_LIMIT_S)
         assert not claims.may_dial(request, late)
-        refusal = requests.dispatch_refusal(granted, late)
-        assert refusal.reason is Reason.CLAIM_UNAVAILABLE
+        reason = requests.obstacle(granted, late)
+        assert reason is Reason.CLAIM_UNAVAILABLE
 
-    def test_open_caller_waits(self) -> None:
+    def test_log_down(self) -> None:
         """Guards against a log outage that stops claims."""
         calls = warm_fleet()
         calls.fleet.log.available = False
