--- a/teaselcove/commands/measure.py
+++ b/teaselcove/commands/measure.py
@@ -28,6 +28,7 @@
         baselines: Whether the baselines run as well.
         json: File for the figures as JSON.
         plot: File for a plot as PNG.
+        markdown: Whether to print rows of a Markdown table.
     """
 
     policy: str = 'default'
@@ -40,6 +41,7 @@
     baselines: bool = True
     json: str | None = None
     plot: str | None = None
+    markdown: bool = False
 
     @property
     def conditions(self) -> Conditions:
@@ -73,8 +75,12 @@
         for name in dict.fromkeys(names)
     ]
     columns = {item.policy: item.figures for item in measured}
-    print(report.table(columns))
-    print(report.organisations(measured[0].figures))
+    if chosen.markdown:
+        for policy, figures in columns.items():
+            print(report.row(scenario, policy, figures))
+    else:
+        print(report.table(columns))
+        print(report.organisations(measured[0].figures))
     if chosen.json:
         Path(chosen.json).write_bytes(msgspec.json.encode(columns))
     if chosen.plot:
--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -4,7 +4,12 @@
 """
 
 from teaselcove import (
+    acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
     drain,
@@ -30,13 +35,18 @@
 from teaselcove.kernel import Kernel
 
 SERVICE_MODULES = (
+    acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
-    fair_queue,
     drain,
     escrow,
     grants,
+    fair_queue,
     health,
     hedging,
     keys,
--- a/teaselcove/report.py
+++ b/teaselcove/report.py
@@ -66,3 +66,48 @@
             f'{item.p99_ms:>8.0f}{mark}'
         )
     return '\n'.join(lines)
+
+
+ROW_HEADER = (
+    'scenario',
+    'policy',
+    'detection p50 / worst',
+    'undetected',
+    'no new work',
+    'false ejections',
+    'below floor',
+    'worst-served: success, p99',
+    'wrongful',
+    'retries, worst 5 s',
+    'repeats',
+    'hurt',
+    'bytes/host/s',
+)
+
+
+def header() -> str:
+    """Returns the header of a Markdown table of runs."""
+    return f'| {" | ".join(ROW_HEADER)} |\n{"|---" * len(ROW_HEADER)}|'
+
+
+def row(name: str, policy: str, figures: Figures) -> str:
+    """Returns one run as a row of a Markdown table."""
+    worst = figures.worst
+    first = seconds(figures.detection_p50)
+    last = seconds(figures.detection_worst)
+    cells = (
+        name,
+        policy,
+        f'{first} / {last}',
+        figures.undetected,
+        seconds(figures.no_new_work),
+        figures.false_ejections,
+        figures.floor_violations,
+        f'{worst.organisation}: {worst.success:.4f}, {worst.p99_ms:.0f} ms',
+        f'{figures.wrongful:.3%}',
+        f'{figures.worst_retries:.1%}',
+        figures.repeats,
+        figures.hurt,
+        f'{figures.bytes:.0f}',
+    )
+    return f'| {" | ".join(map(str, cells))} |'
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -6,7 +6,7 @@
 from teaselcove.attempts import Attempt
 from teaselcove.claims import ClaimResult, ClaimState
 from teaselcove.effects import Answer, CancelAttempt, Dial, Refuse
-from teaselcove.entities import Route, Server
+from teaselcove.entities import Server
 from teaselcove.errors import Outcome, Reason, Refusal, not_run
 from teaselcove.events import (
     AttemptFinished,
@@ -15,7 +15,6 @@
     RequestArrived,
 )
 from teaselcove.ids import (
-    OPEN_ORGANISATION,
     AttemptId,
     Instant,
     OrganisationId,
@@ -23,15 +22,11 @@
 )
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.rates import RateState, RateVerdict
-from teaselcove.request_state import (
-    Identity,
-    RequestState,
-    Stage,
-    final_refusal,
-)
+from teaselcove.request_state import RequestState, Stage, final_refusal
 from teaselcove.retries import NOT_STARTED, RetryVerdict, has_failed
 
-MS_PER_S = 1000
+# Decision lines give times to a tenth of a millisecond.
+ELAPSED_DIGITS = 4
 
 
 @services.register('requests')
@@ -47,7 +42,8 @@
     @on(RequestArrived)
     def request_arrived(self, event: RequestArrived, now: Instant) -> None:
         """Checks route and key, then asks for a token of the rate."""
-        accepted = self.accept(event, now)
+        acceptance = self.kernel.service('acceptance')
+        accepted = acceptance.accept(event, now)
         if isinstance(accepted, Refusal):
             self.emit_refusal(event.request_id, accepted)
             return
@@ -62,52 +58,6 @@
         if verdict.state is not RateState.PENDING:
             self.rate_decided(event.request_id, verdict, now)
 
-    def accept(
-        self, event: RequestArrived, now: Instant
-    ) -> RequestState | Refusal:
-        """Returns the state of a valid request, or its refusal."""
-        if self.kernel.service('drain').refuses(now):
-            return not_run(Reason.DRAINING)
-        configuration = self.kernel.service('configuration')
-        if not configuration.version:
-            return not_run(Reason.NO_CONFIGURATION)
-        route = configuration.route_for(event.path)
-        if route is None:
-            return not_run(Reason.NO_ROUTE)
-        identity = self.identify(event, route, now)
-        if isinstance(identity, Refusal):
-            return identity
-        if self.kernel.service('retries').is_crashing(event.body_digest, now):
-            return not_run(Reason.CRASHING_REQUEST)
-        timeout = route.timeout_ms / MS_PER_S
-        if event.timeout is not None:
-            timeout = min(timeout, event.timeout)
-        return RequestState(
-            event,
-            route,
-            identity,
-            route.is_idempotent(event.method, event.path),
-            Instant(now + timeout),
-        )
-
-    def identify(
-        self, event: RequestArrived, route: Route, now: Instant
-    ) -> Identity | Refusal:
-        """Returns for whom a request runs, or why it may not."""
-        if event.key is None and route.open:
-            return Identity(OPEN_ORGANISATION, None)
-        if not self.kernel.service('configuration').may_serve(now):
-            return not_run(Reason.ISOLATED)
-        key = None
-        if event.key is not None:
-            key = self.kernel.service('keys').check(event.key)
-        if key is None:
-            return not_run(Reason.BAD_KEY)
-        allowed = route.organisations
-        if allowed and key.organisation not in allowed:
-            return not_run(Reason.NOT_ALLOWED)
-        return Identity(key.organisation, key.id)
-
     def rate_decided(
         self, request_id: RequestId, verdict: RateVerdict, now: Instant
     ) -> None:
@@ -179,9 +129,10 @@
     ) -> None:
         """Starts an attempt, unless the key was withdrawn meanwhile."""
         state = self.states[request_id]
-        reason = self.obstacle(state, now)
-        if reason is not None:
-            self.give_up(state, reason, now)
+        refusal = self.dispatch_refusal(state, now)
+        if refusal is not None:
+            self.abandon(state, now)
+            self.refuse(state, refusal, now)
             return
         attempt = Attempt(
             AttemptId(next(self.attempt_ids)),
@@ -221,16 +172,20 @@
             )
         )
 
-    def obstacle(self, state: RequestState, now: Instant) -> Reason | None:
-        """Returns what has happened since the arrival to forbid a run."""
+    def dispatch_refusal(
+        self, state: RequestState, now: Instant
+    ) -> Refusal | None:
+        """Returns why a request may not run any more, or None."""
         retries = self.kernel.service('retries')
         if retries.is_crashing(state.arrival.body_digest, now):
-            return Reason.CRASHING_REQUEST
+            return not_run(Reason.CRASHING_REQUEST)
         key_id = state.identity.key_id
-        if key_id is None:
-            return None
-        if self.kernel.service('configuration').key(key_id) is None:
-            return Reason.BAD_KEY
+        configuration = self.kernel.service('configuration')
+        if key_id is not None and configuration.key(key_id) is None:
+            return not_run(Reason.BAD_KEY)
+        claims = self.kernel.service('claims')
+        if state.claimed and not claims.may_dial(state.request_id, now):
+            return not_run(Reason.CLAIM_UNAVAILABLE, 1)
         return None
 
     @on(AttemptFinished)
@@ -239,6 +194,15 @@
         attempt = self.by_attempt.pop(event.attempt_id, None)
         if attempt is None:
             return
+        self.kernel.decide(
+            'attempt',
+            request=attempt.request_id,
+            organisation=attempt.organisation,
+            server=attempt.server,
+            result=event.result.value,
+            status=event.status,
+            elapsed=round(now - attempt.started_at, ELAPSED_DIGITS),
+        )
         routing = self.kernel.service('routing')
         routing.finished(attempt, event.result, now)
         if event.leaving:
@@ -372,6 +336,9 @@
         """Stops whatever a request is waiting for."""
         if state.stage is Stage.RATE:
             self.kernel.service('rates').cancel(state.request_id, now)
+        if state.stage is Stage.CLAIM:
+            claims = self.kernel.service('claims')
+            state.may_have_run |= claims.cancel(state.request_id, now)
         if state.stage is Stage.QUEUED:
             self.kernel.service('admission').cancel(state.request_id, now)
         for attempt in state.running:
