--- a/teaselcove/crashes.py
+++ b/teaselcove/crashes.py
@@ -39,6 +39,17 @@
     duration: float
 
 
+@message('crash-clear')
+class CrashCleared(msgspec.Struct, frozen=True):
+    """A server has completed a request that was suspected.
+
+    Look-ups that many callers make alike are often running when a server
+    crashes, and must not be refused because of that.
+    """
+
+    digest: bytes
+
+
 class Suspect(msgspec.Struct):
     """A request that was running when its server reset the connection.
 
@@ -86,11 +97,17 @@
         suspect = self.suspects.get(digest)
         return frozenset(suspect.hurt if suspect else ())
 
-    def note_complete(self, digest: bytes) -> None:
-        """Notes that a server has completed a request."""
-        suspect = self.suspects.get(digest)
-        if suspect is not None:
-            suspect.innocent = True
+    def clear(self, digest: bytes) -> bool:
+        """Notes that a server has completed a request.
+
+        Returns:
+            Whether the request was suspected until now.
+        """
+        if not self.is_suspect(digest):
+            return False
+        self.suspects[digest].innocent = True
+        self.blocked.pop(digest, None)
+        return True
 
     def block(self, digest: bytes, until: Instant) -> None:
         """Refuses a request for some time, unless it is known as innocent."""
--- a/teaselcove/retries.py
+++ b/teaselcove/retries.py
@@ -6,12 +6,13 @@
 from teaselcove.crashes import (
     BLOCKED_S,
     CrashBlocked,
+    CrashCleared,
     CrashSuspected,
     CrashTable,
 )
 from teaselcove.effects import Send
 from teaselcove.events import AttemptFinished, AttemptResult
-from teaselcove.ids import BackendServerId, HostId, Instant, OrganisationId
+from teaselcove.ids import BackendServerId, HostId, Instant
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.request_state import RequestState
 from teaselcove.retry_budget import RetryBudget
@@ -116,13 +117,18 @@
         """Notes what the end of an attempt says about its request."""
         digest = attempt.body_digest
         if event.result is AttemptResult.COMPLETE:
-            self.crashes.note_complete(digest)
+            self.note_complete(attempt, now)
         # A truncated answer has a status; a server that crashes gives none.
         elif event.result is AttemptResult.BROKEN and event.status is None:
             suspicion = CrashSuspected(digest, attempt.server)
-            self.tell(suspicion, attempt.organisation, now)
+            self.tell(suspicion, attempt, now)
             self.note_crash(suspicion, now)
 
+    def note_complete(self, attempt: Attempt, now: Instant) -> None:
+        """Clears a suspected request that a server has completed."""
+        if self.crashes.clear(attempt.body_digest):
+            self.tell(CrashCleared(attempt.body_digest), attempt, now)
+
     def note_crash(self, suspicion: CrashSuspected, now: Instant) -> None:
         """Blocks a request that has hurt too many servers."""
         digest = suspicion.digest
@@ -154,21 +160,21 @@
 
     def tell(
         self,
-        suspicion: CrashSuspected,
-        organisation: OrganisationId,
+        body: CrashSuspected | CrashCleared,
+        attempt: Attempt,
         now: Instant,
     ) -> None:
         """Tells the hosts to which the caller may send a request again."""
         told = self.peers()
         if len(told) > MAX_TOLD:
             placement = self.kernel.service('placement')
-            answer = placement.hosts_for(organisation, now)
+            answer = placement.hosts_for(attempt.organisation, now)
             hosts = self.kernel.service('membership').hosts
             told = [
                 host for host in told if hosts[host].address in answer.addresses
             ]
         for host in told:
-            self.kernel.emit(Send(host, suspicion))
+            self.kernel.emit(Send(host, body))
 
     @on(CrashSuspected)
     def crash_suspected(
@@ -177,6 +183,13 @@
         """Notes a crash that another host saw."""
         self.note_crash(suspicion, now)
 
+    @on(CrashCleared)
+    def crash_cleared(
+        self, sender: HostId, cleared: CrashCleared, now: Instant
+    ) -> None:
+        """Clears a request that another host saw complete."""
+        self.crashes.clear(cleared.digest)
+
     @on(CrashBlocked)
     def crash_blocked(
         self, sender: HostId, block: CrashBlocked, now: Instant
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -3,11 +3,15 @@
 import msgspec
 import pytest
 
-from teaselcove.deployments import Deployment
+from teaselcove.deployments import Deployment, deployments
 from teaselcove.experiment import Conditions
+from teaselcove.figures import Figures
 from teaselcove.measure import Measured, measure
 from teaselcove.scenarios import scenarios
 
+MIN_SUCCESS = 0.99
+MAX_WRONGFUL = 0.001
+MAX_RETRIES = 0.2
 SMALL = Deployment('small', hosts=6, servers=9, zone_delay=0.001)
 QUIET = Conditions(SMALL, rate=30, duration=12)
 
@@ -38,3 +42,35 @@
         """Guards against a scenario that cannot run."""
         measured = run(name, rate=10, duration=11)
         assert measured.figures.calls > 0
+
+
+class TestTargets:
+    """Stated targets, on the deployments and with fixed seeds."""
+
+    def measured(self, name: str, **changes: object) -> Figures:
+        """Returns the figures of a scenario at 0.7 of capacity."""
+        fields = {'duration': 15, 'seed': 3, **changes}
+        conditions = Conditions(deployments.get('brunnwerk'), **fields)
+        return measure(scenarios.get(name), conditions, 'default').figures
+
+    @pytest.mark.parametrize(
+        ('name', 'limited'), [('greedy', False), ('greedy-overload', True)]
+    )
+    def test_fairness(self, name: str, limited: bool) -> None:
+        """Guards against an organisation that crowds out the others."""
+        figures = self.measured(name, limited=limited)
+        assert figures.worst.success >= MIN_SUCCESS
+        assert figures.wrongful < MAX_WRONGFUL
+
+    def test_crashing_requests(self) -> None:
+        """Guards against a third crash and against blame of innocents."""
+        figures = self.measured('crashing-requests')
+        assert 0 < figures.hurt <= 2
+        assert figures.wrongful < MAX_WRONGFUL
+        assert figures.repeats == 0
+
+    def test_retries_when_all_fail(self) -> None:
+        """Guards against retries that add to an outage."""
+        figures = self.measured('all-fail')
+        assert 0 < figures.worst_retries <= MAX_RETRIES
+        assert figures.repeats == 0
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -80,7 +80,7 @@
         table = CrashTable()
         table.note_crash(b'd', 'job-1', 1)
         if completed:
-            table.note_complete(b'd')
+            assert table.clear(b'd')
         assert not table.note_crash(b'd', 'job-2', later)
 
     def test_expiry_and_bound(self) -> None:
@@ -125,6 +125,23 @@
         assert refusal.reason is Reason.CRASHING_REQUEST
         assert refusal.outcome is Outcome.NOT_RUN
 
+    def test_innocent_elsewhere(self) -> None:
+        """Guards against blame for a request that another host completed."""
+        here, there = make_kernel(), make_kernel()
+        hosts = HostsListed((host_entry(1), host_entry(2)))
+        for kernel in (here, there):
+            kernel.handle(hosts, 1)
+        earn(here, 25)
+        first = only(here.handle(arrival('c1'), 2), Dial)
+        broken = AttemptFinished(first.attempt_id, BROKEN)
+        effects = here.handle(broken, 2)
+        second = only(here.handle(TimerDue(), 2.1), Dial)
+        done = AttemptFinished(second.attempt_id, AttemptResult.COMPLETE, 200)
+        for sent in of_type([*effects, *here.handle(done, 2.2)], Send):
+            there.handle(PeerMessageReceived('host-1', 1, sent.message), 2.2)
+        self.crash(there, 'c2', 2.3)
+        assert only(there.handle(arrival('c3'), 2.4), Dial)
+
     def test_block_ends(self) -> None:
         """Guards against a peer that blocks a request for longer."""
         kernel = make_kernel()
