--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -74,3 +74,8 @@
         figures = self.measured('all-fail')
         assert 0 < figures.worst_retries <= MAX_RETRIES
         assert figures.repeats == 0
+
+    def test_zone_lost(self) -> None:
+        """Guards against refusals while a zone is away."""
+        figures = self.measured('zone-lost', duration=20, seed=1)
+        assert figures.wrongful < MAX_WRONGFUL
