Test the configuration under schedules of faults; count a read from its request

The result of a log read that waited while the process was stopped counted as fresh, because timers run before the waiting result and asked again. A read that is asked for again now counts from the first time. A host that is behind tells all its peers, so that hosts behind it learn of the later version even if nobody can send it. The fleet stand-in can cut single hosts from the log and run a part of the services.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -93,12 +93,22 @@
         decisions: All decisions as (time, host, effect), if kept.
         sent: Messages and bytes by host.
         cuts: Links cut one way, as (sender, recipient).
+        log_cuts: Hosts that cannot reach the log.
         loss: Share of messages that are lost.
         repeat: Share of messages that arrive twice.
         on_dial: Called with host, effect and time for each attempt.
     """
 
-    def __init__(self, seed: int = 0) -> None:
+    def __init__(
+        self, seed: int = 0, service_names: list[str] | None = None
+    ) -> None:
+        """Builds a fleet without hosts.
+
+        Args:
+            seed: Seed of all random choices.
+            service_names: Services that the hosts run; all by default.
+        """
+        self.service_names = service_names
         self.random = random.Random(seed)
         self.now = Instant(0)
         self.log = FakeLog()
@@ -112,6 +122,7 @@
         self.sent: Counter[HostId] = Counter()
         self.sent_bytes: Counter[HostId] = Counter()
         self.cuts: set[tuple[HostId, HostId]] = set()
+        self.log_cuts: set[HostId] = set()
         self.loss = float(0)
         self.repeat = float(0)
         self.extra_delay = float(0)
@@ -119,7 +130,9 @@
 
     def add_host(self, settings: HostSettings) -> Kernel:
         """Starts a host with a new incarnation."""
-        kernel = Kernel(settings, seed=self.random.getrandbits(32))
+        kernel = Kernel(
+            settings, self.random.getrandbits(32), self.service_names
+        )
         incarnation = kernel.service('membership').incarnation
         entry = ev.HostEntry(
             settings.host,
@@ -234,11 +247,15 @@
             case fx.Send():
                 self.send(name, effect)
             case fx.Append():
-                offset = self.log.append(effect.stream, effect.payload)
+                offset = None
+                if name not in self.log_cuts:
+                    offset = self.log.append(effect.stream, effect.payload)
                 done = ev.AppendFinished(effect.append_id, offset)
                 self.deliver(name, done, LOG_DELAY_S)
             case fx.ReadLog():
-                read = self.log.read(effect.stream, effect.offset)
+                read = ev.StoreFailed(effect.stream)
+                if name not in self.log_cuts:
+                    read = self.log.read(effect.stream, effect.offset)
                 self.deliver(name, read, LOG_DELAY_S)
             case fx.ReadHosts():
                 listed = ev.HostsListed(self.visible_list())
--- a/teaselcove/configuration.py
+++ b/teaselcove/configuration.py
@@ -77,6 +77,7 @@
             that waited while the process was stopped.
         asked_at: When the awaited read was asked for, or None.
         asked_offset: The offset of that read.
+        sent_at: When it was asked for the last time.
         newer: Versions above the own one that peers are known to have.
     """
 
@@ -86,6 +87,7 @@
         self.last_log_read: Instant | None = None
         self.asked_at: Instant | None = None
         self.asked_offset = Offset(0)
+        self.sent_at = Instant(0)
         self.newer = NewerVersions()
 
     @property
@@ -104,15 +106,21 @@
 
     def read_log(self, now: Instant) -> None:
         """Asks for new records, unless an earlier read is awaited."""
-        asked_at = self.asked_at
-        if asked_at is None or now - asked_at > READ_TIMEOUT_S:
+        if self.asked_at is None or now - self.sent_at > READ_TIMEOUT_S:
             self.ask(now)
         interval = self.kernel.settings.log_read_interval
         self.kernel.call_at(Instant(now + interval), self.read_log)
 
     def ask(self, now: Instant) -> None:
-        """Asks for the records that are not folded yet."""
-        self.asked_at = now
+        """Asks for the records that are not folded yet.
+
+        A read that is asked for again counts from the first time, because
+        the result of the earlier one may still arrive.
+        """
+        again = self.asked_offset == self.state.next_offset
+        if self.asked_at is None or not again:
+            self.asked_at = now
+        self.sent_at = now
         self.asked_offset = self.state.next_offset
         self.kernel.emit(ReadLog(STREAM, self.asked_offset))
 
--- a/teaselcove/relay.py
+++ b/teaselcove/relay.py
@@ -7,13 +7,12 @@
 
 from teaselcove.configuration import Configuration
 from teaselcove.effects import Send
-from teaselcove.events import HostEntry, HostsListed
+from teaselcove.events import HostsListed
 from teaselcove.fold import Fate, SkipCounts
 from teaselcove.ids import HostId, Instant, Offset, Version
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.membership import Heartbeat
 from teaselcove.messages import message
-from teaselcove.placement import rendezvous_score
 
 log = logging.getLogger(__name__)
 
@@ -25,14 +24,16 @@
 # Bytes of records sent to one host at a time.
 SENT_BYTES = 256 * 1024
 
-# Hosts that get a change without asking, in case they hear but are not heard,
-# and how often after the last change. Larger records are sent only on
-# request, which bounds the traffic of a change.
-UNASKED_HOSTS = 8
+# How often the peers get the latest change without asking, in case they hear
+# this host but are not heard. Larger records are sent only on request, which
+# bounds the traffic of a change.
 UNASKED_ROUNDS = 3
-UNASKED_INTERVAL_S = 1
 UNASKED_BYTES = 16 * 1024
 
+# A host that is behind tells all its peers at this interval, so that they
+# learn of the later version even if nobody can send it to them.
+ROUND_INTERVAL_S = 1
+
 
 @message('winning-record')
 class WinningRecord(msgspec.Struct, frozen=True):
@@ -80,6 +81,17 @@
         self.kept_bytes = 0
         self.peer_versions: dict[HostId, Version] = {}
 
+    def start(self, now: Instant) -> None:
+        """Starts to tell the peers at intervals if the host is behind."""
+        self.ask_peers(now)
+
+    def ask_peers(self, now: Instant) -> None:
+        """Asks all peers for records while a later version is known."""
+        if self.configuration.newer.known:
+            for host in self.peers():
+                self.ask(host, now)
+        self.kernel.call_at(Instant(now + ROUND_INTERVAL_S), self.ask_peers)
+
     @property
     def configuration(self) -> Configuration:
         """The service that holds the configuration in force."""
@@ -113,7 +125,7 @@
 
     def call_unasked(self, now: Instant) -> None:
         """Waits for the next round of sending unasked."""
-        at = Instant(now + UNASKED_INTERVAL_S)
+        at = Instant(now + ROUND_INTERVAL_S)
         self.kernel.call_at(at, self.send_unasked)
 
     def send_unasked(self, now: Instant) -> None:
@@ -121,24 +133,17 @@
         self.rounds_left -= 1
         if self.rounds_left:
             self.call_unasked(now)
-        for entry in self.unasked_hosts(now):
-            heard = self.peer_versions.get(entry.host)
-            version = self.configuration.version
+        version = self.configuration.version
+        for host in self.peers():
+            heard = self.peer_versions.get(host)
             if heard is None:
-                self.send_records(entry.host, Version(version - 1))
+                self.send_records(host, Version(version - 1))
             elif heard < version:
-                self.send_records(entry.host, heard)
-
-    def unasked_hosts(self, now: Instant) -> list[HostEntry]:
-        """Returns the hosts that get changes without asking."""
-        own = self.kernel.settings.host
-        others = [
-            entry
-            for entry in self.kernel.service('membership').hosts.values()
-            if entry.host != own
-        ]
-        others.sort(key=lambda entry: rendezvous_score(own, entry.host))
-        return others[:UNASKED_HOSTS]
+                self.send_records(host, heard)
+
+    def peers(self) -> list[HostId]:
+        """Returns the hosts that get the heartbeats of this host."""
+        return self.kernel.service('membership').peers
 
     def send_records(self, host: HostId, version: Version) -> bool:
         """Sends the kept records after a version.
