--- a/standins/demo.py
+++ b/standins/demo.py
@@ -19,7 +19,7 @@
 from standins.caller import Plan, Surge
 from standins.deployment import Deployment, Shape, put_json
 from standins.platform import Fault as PlatformFault
-from teaselcove.entities import Entities
+from standins.processes import ignore_signals
 
 SHAPE = Shape(
     hosts=6,
@@ -131,10 +131,9 @@
 
     def withdraw_key(self) -> None:
         """Withdraws the key of an organisation while it calls."""
-        key_id = self.deployment.keys[WITHDRAWN].id
-        self.deployment.apply(Entities(), keys=(key_id,))
+        self.deployment.withdraw_key(WITHDRAWN)
         self.withdrawn_at = time.time()
-        self.say(f'the key {key_id} of {WITHDRAWN} is withdrawn')
+        self.say(f'the key of {WITHDRAWN} is withdrawn')
 
     def kill_host(self) -> None:
         """Kills a host; the list drops it."""
@@ -172,7 +171,10 @@
 
     def change_configuration(self) -> None:
         """Applies a change and waits until it is in force everywhere."""
-        self.deployment.apply(Entities())
+        self.deployment.operate(
+            'keys', 'issue', str(self.deployment.directory), NOISY
+        )
+        self.deployment.apply()
         applied_at = time.time()
         while not all(map(self.deployment.is_ready, self.deployment.hosts)):
             if time.time() - applied_at > FORCE_LIMIT_S:
@@ -247,14 +249,16 @@
         )
         return round(max(0, last - self.withdrawn_at), 3)
 
-    def rate_figures(self, lines: list[account.Line]) -> tuple[int, int]:
+    def rate_figures(
+        self, lines: list[account.Line]
+    ) -> tuple[int, dict[str, int]]:
         """Returns organisations over their rate and wrongful refusals."""
         overruns = 0
-        wrongful = 0
+        wrongful = {}
         for name, mine in account.by_organisation(lines).items():
             rate, burst = SHAPE.organisations[name]
             overruns += account.largest_overrun(mine, rate, burst) > 0
-            wrongful += account.wrongful_refusals(mine, rate, burst)
+            wrongful[name] = account.wrongful_refusals(mine, rate, burst)
         return overruns, wrongful
 
     def ejections(self) -> tuple[float | None, int]:
@@ -279,6 +283,7 @@
     except KeyboardInterrupt:
         code = 130
     finally:
+        ignore_signals()
         demo.deployment.stop()
     if code:
         sys.stderr.write(f'logs are kept in {directory}\n')
--- a/teaselcove/core.py
+++ b/teaselcove/core.py
@@ -4,11 +4,20 @@
 """
 
 from teaselcove import (
+    acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
     drain,
+    escrow,
+    fair_queue,
+    grants,
     health,
+    hedging,
     keys,
     membership,
     ownership,
@@ -26,11 +35,20 @@
 from teaselcove.kernel import Kernel
 
 SERVICE_MODULES = (
+    acceptance,
     admission,
+    claim_endings,
+    claim_owner,
+    claim_rounds,
+    claim_sync,
     claims,
     configuration,
     drain,
+    escrow,
+    grants,
+    fair_queue,
     health,
+    hedging,
     keys,
     membership,
     ownership,
--- a/teaselcove/slices.py
+++ b/teaselcove/slices.py
@@ -22,12 +22,14 @@
         incarnation: The process that owns, or 0 while the host has not named
             its process; nobody has authority then.
         epoch: Number of times that this owner was named; 0 if never.
+        succeeds: Whether an earlier process had authority for the place.
     """
 
     index: int
     host: HostId = NO_HOST
     incarnation: Incarnation = NO_INCARNATION
     epoch: int = 0
+    succeeds: bool = False
 
 
 class SeatKey(msgspec.Struct, frozen=True, order=True):
@@ -78,19 +80,18 @@
     Attributes:
         seats: Owner by place.
         by_host: Places by the host that is named for them.
+        by_slice: Owners that were named, by slice and in order of index.
     """
 
     def __init__(self) -> None:
         self.seats = {place: Seat(place.index) for place in all_places()}
         self.by_host: dict[HostId, set[SeatKey]] = defaultdict(set)
         self.by_host[NO_HOST].update(self.seats)
+        self.by_slice: dict[SliceId, tuple[Seat, ...]] = {}
 
     def owners(self, slice_id: SliceId) -> tuple[Seat, ...]:
         """Returns the owners of a slice by index, without empty places."""
-        seats = (
-            self.seats[SeatKey(slice_id, index)] for index in range(OWNER_COUNT)
-        )
-        return tuple(seat for seat in seats if seat.epoch)
+        return self.by_slice.get(slice_id, ())
 
     def places_of(self, host: HostId) -> set[SeatKey]:
         """Returns the places that a host is named for."""
@@ -103,6 +104,14 @@
             if self.wins(change):
                 self.apply(change)
                 changed.add(change.slice_id)
+        for slice_id in changed:
+            seats = [
+                self.seats[SeatKey(slice_id, index)]
+                for index in range(OWNER_COUNT)
+            ]
+            self.by_slice[slice_id] = tuple(
+                seat for seat in seats if seat.epoch
+            )
         return frozenset(changed)
 
     def wins(self, change: SeatChange) -> bool:
@@ -113,8 +122,13 @@
     def apply(self, change: SeatChange) -> None:
         """Names an owner."""
         place = SeatKey(change.slice_id, change.index)
-        self.by_host[self.seats[place].host].discard(place)
+        previous = self.seats[place]
+        self.by_host[previous.host].discard(place)
         self.by_host[change.host].add(place)
         self.seats[place] = Seat(
-            change.index, change.host, change.incarnation, change.base + 1
+            change.index,
+            change.host,
+            change.incarnation,
+            change.base + 1,
+            previous.succeeds or previous.incarnation != NO_INCARNATION,
         )
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from standins.fleet import Fleet
 from teaselcove import messages, parts
 from teaselcove.commands.submission import Verdict, judge
 from teaselcove.configuration import STREAM, Configuration
 from teaselcove.entities import Entities, Key
+from teaselcove.fleet import Fleet
 from teaselcove.fold import Fate, State, digest_of, fold
 from teaselcove.plan import difference
 from teaselcove.rebuild import Phase, Rebuild
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from standins.fleet import FakeLog
 from teaselcove import events as ev
 from teaselcove.commands import changes, submission
 from teaselcove.commands.status import HostReport, compare
 from teaselcove.errors import AppendUnknownError, StoreUnavailableError
+from teaselcove.fleet import FakeLog
 from teaselcove.fold import State
 from teaselcove.records import STREAM, ApplyRecord, encode_record
 from tests.support import ENTITIES
--- a/tests/test_convergence.py
+++ b/tests/test_convergence.py
@@ -128,8 +128,8 @@
 
     def cut_log(self) -> None:
         """Cuts a host from the log, as long as most hosts reach it."""
-        if len(self.fleet.log_cuts) < HOSTS // 2:
-            self.fleet.log_cuts.add(self.host())
+        if len(self.fleet.log.cuts) < HOSTS // 2:
+            self.fleet.log.cuts.add(self.host())
 
     def stop_log(self) -> None:
         """Takes the log away."""
@@ -151,7 +151,7 @@
     def heal(self) -> None:
         """Ends all faults."""
         self.fleet.cuts.clear()
-        self.fleet.log_cuts.clear()
+        self.fleet.log.cuts.clear()
         self.fleet.loss = 0
         self.fleet.repeat = 0
         self.fleet.log.available = True
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -56,7 +56,7 @@
 
     def test_peers_only(self, operators: Operators) -> None:
         """Guards against a host without the log that stays behind."""
-        operators.fleet.log_cuts.add('host-1')
+        operators.fleet.log.cuts.add('host-1')
         change(operators, 3)
         assert operators.configuration('host-1').version == 2
         operators.fleet.run_until(30)
@@ -73,14 +73,14 @@
 
     def test_hears_only(self, operators: Operators) -> None:
         """Guards against a change that only those who ask get."""
-        operators.fleet.log_cuts.add('host-1')
+        operators.fleet.log.cuts.add('host-1')
         cut(operators, ('host-2', 'host-1'), ('host-2', 'host-3'))
         change(operators, 4)
         assert operators.configuration('host-1').version == 2
 
     def test_isolated(self, operators: Operators) -> None:
         """Guards against service with a version that may be old."""
-        operators.fleet.log_cuts.add('host-1')
+        operators.fleet.log.cuts.add('host-1')
         cut(operators)
         change(operators, 6)
         own = operators.configuration('host-1')
@@ -98,7 +98,7 @@
     ) -> None:
         """Guards against a majority of hosts that all have an old version."""
         monkeypatch.setattr(relay, 'UNASKED_BYTES', 0)
-        operators.fleet.log_cuts.update(('host-1', 'host-2'))
+        operators.fleet.log.cuts.update(('host-1', 'host-2'))
         cut(operators, ('host-3', 'host-2'), ('host-2', 'host-1'))
         change(operators, 9)
         for name in ('host-1', 'host-2'):
@@ -152,12 +152,12 @@
     def test_retention(self, operators: Operators) -> None:
         """Guards against a host that retention leaves behind for ever."""
         operators.fleet.run_until(25)
-        operators.fleet.log_cuts.add('host-1')
+        operators.fleet.log.cuts.add('host-1')
         cut(operators)
         change(operators, 650)
         change(operators, 1)
         operators.truncate()
-        operators.fleet.log_cuts.clear()
+        operators.fleet.log.cuts.clear()
         operators.fleet.run_until(operators.fleet.now + 5)
         own = operators.configuration('host-1')
         assert own.version == operators.reference.version
