--- a/teaselcove/fleet.py
+++ b/teaselcove/fleet.py
@@ -32,6 +32,7 @@
     Attributes:
         available: Whether reads and appends succeed.
         lose_replies: Whether appends take effect but their reply is lost.
+        cuts: Hosts that cannot reach the log.
     """
 
     def __init__(self) -> None:
@@ -39,6 +40,7 @@
         self.first: Counter[StreamName] = Counter()
         self.available = True
         self.lose_replies = False
+        self.cuts: set[HostId] = set()
 
     def append(self, stream: StreamName, payload: bytes) -> Offset | None:
         """Appends a record; returns its offset, or None if unknown."""
@@ -107,7 +109,16 @@
         zone_delay: One-way delay between availability zones in seconds.
     """
 
-    def __init__(self, seed: int = 0) -> None:
+    def __init__(
+        self, seed: int = 0, service_names: list[str] | None = None
+    ) -> None:
+        """Builds a fleet without hosts.
+
+        Args:
+            seed: Seed of all random choices.
+            service_names: Services that the hosts run; all by default.
+        """
+        self.service_names = service_names
         self.random = random.Random(seed)
         self.now = Instant(0)
         self.log = FakeLog()
@@ -132,7 +143,9 @@
 
     def add_host(self, settings: HostSettings) -> Kernel:
         """Starts a host with a new incarnation."""
-        kernel = Kernel(settings, seed=self.random.getrandbits(32))
+        kernel = Kernel(
+            settings, self.random.getrandbits(32), self.service_names
+        )
         incarnation = kernel.service('membership').incarnation
         entry = ev.HostEntry(
             settings.host,
@@ -283,11 +296,15 @@
             case fx.Send():
                 self.send(name, effect)
             case fx.Append():
-                offset = self.log.append(effect.stream, effect.payload)
+                offset = None
+                if name not in self.log.cuts:
+                    offset = self.log.append(effect.stream, effect.payload)
                 done = ev.AppendFinished(effect.append_id, offset)
                 self.deliver(name, done, LOG_DELAY_S)
             case fx.ReadLog():
-                read = self.log.read(effect.stream, effect.offset)
+                read = ev.StoreFailed(effect.stream)
+                if name not in self.log.cuts:
+                    read = self.log.read(effect.stream, effect.offset)
                 self.deliver(name, read, LOG_DELAY_S)
             case fx.ReadHosts():
                 listed = ev.HostsListed(self.visible_list())
