--- a/standins/demo.py
+++ b/standins/demo.py
@@ -263,7 +263,11 @@
 
     def ejections(self) -> tuple[float | None, int]:
         """Returns the time to detection and the false ejections."""
-        found = account.decisions(self.directory, 'eject')
+        found = [
+            line
+            for line in account.decisions(self.directory, 'stage')
+            if line['stage'] == 'out'
+        ]
         times = [
             line['time'] - self.gray_at
             for line in found
--- a/teaselcove/settings.py
+++ b/teaselcove/settings.py
@@ -35,7 +35,7 @@
     ejection: str = 'peer-comparison'
     evidence: str = 'pooled'
     queue: str = 'weighted-fair'
-    placement: str = 'rendezvous'
+    placement: str = 'owners'
     claims: str = 'majority'
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -9,6 +9,9 @@
 
 SHAPE = Shape(2, {'job': 2}, {'village': (200, 100)}, network=9)
 
+# One worker runs all tests that share the deployment.
+pytestmark = pytest.mark.xdist_group('deployment')
+
 
 @pytest.fixture(scope='module')
 def deployment(
