--- a/teaselcove/ejection.py
+++ b/teaselcove/ejection.py
@@ -157,6 +157,9 @@
         if not idempotent:
             return None
         states = self.states(service, now)
+        # Most of the time no server is on trial, and this runs for each call.
+        if all(state.stage is not Stage.TRIAL for state in states.values()):
+            return None
         for server in sorted(self.out(service, states, now)):
             state = states[server]
             if state.stage is Stage.TRIAL and self.may_try(
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -12,6 +12,8 @@
 MIN_SUCCESS = 0.99
 MAX_WRONGFUL = 0.001
 MAX_RETRIES = 0.2
+MAX_DETECTION_S = 2
+MAX_NEW_WORK_S = 3
 SMALL = Deployment('small', hosts=6, servers=9, zone_delay=0.001)
 QUIET = Conditions(SMALL, rate=30, duration=12)
 
@@ -75,6 +77,30 @@
         assert 0 < figures.worst_retries <= MAX_RETRIES
         assert figures.repeats == 0
 
+    @pytest.mark.parametrize('name', ['stall', 'slow'])
+    @pytest.mark.parametrize('rate', [None, 10])
+    def test_detection(self, name: str, rate: float | None) -> None:
+        """Guards against a sick server that is found late or keeps work."""
+        figures = self.measured(name, rate=rate, seed=1, duration=None)
+        assert figures.undetected == 0
+        assert figures.detection_worst <= MAX_DETECTION_S
+        assert figures.no_new_work <= MAX_NEW_WORK_S
+        assert figures.false_ejections == 0
+        assert figures.floor_violations == 0
+
+    @pytest.mark.parametrize('name', ['overload', 'cold-start'])
+    def test_no_false_ejection(self, name: str) -> None:
+        """Guards against ejecting servers that are all slow or cold."""
+        figures = self.measured(name, limited=True, seed=1)
+        assert figures.false_ejections == 0
+        assert figures.floor_violations == 0
+
+    def test_crashing_request(self) -> None:
+        """Guards against refusals while crashed servers recover."""
+        figures = self.measured('crashing-request', seed=1)
+        assert 0 < figures.hurt <= 2
+        assert figures.wrongful < MAX_WRONGFUL
+
     def test_zone_lost(self) -> None:
         """Guards against refusals while a zone is away."""
         figures = self.measured('zone-lost', duration=20, seed=1)
