Name the owners of a slice by the usual term

Cause: Seat and SeatKey were figurative names for an owner and its key. They are SliceOwner, OwnerKey, OwnerChange and OwnerShare now.

--- a/standins/rate_faults.py
+++ b/standins/rate_faults.py
@@ -67,7 +67,9 @@
     ownership = kernel.service('ownership')
     slice_id = ownership.slice_of(organisation)
     owned = ownership.owned(slice_id, Instant(0))
-    return {(seat.index, seat.epoch) for seat in owned} >= places
+    return {
+        (slice_owner.index, slice_owner.epoch) for slice_owner in owned
+    } >= places
 
 
 class FaultRun:
--- a/teaselcove/allocation.py
+++ b/teaselcove/allocation.py
@@ -6,7 +6,7 @@
 from teaselcove.events import HostEntry
 from teaselcove.ids import HostId, Incarnation, SliceId, ZoneName
 from teaselcove.placement import rendezvous_score
-from teaselcove.slices import OWNER_COUNT, SeatChange, SeatKey, SliceTable
+from teaselcove.slices import OWNER_COUNT, OwnerChange, OwnerKey, SliceTable
 
 
 class Allocator:
@@ -28,13 +28,13 @@
         self.zone_of = {entry.host: entry.zone for entry in hosts}
         self.zones: dict[ZoneName, list[tuple[int, int, HostId]]]
         self.zones = defaultdict(list)
-        self.taken: dict[SeatKey, HostId] = {}
+        self.taken: dict[OwnerKey, HostId] = {}
         for entry in hosts:
             places = len(table.places_of(entry.host))
             score = rendezvous_score('places', entry.host)
             heapq.heappush(self.zones[entry.zone], (places, score, entry.host))
 
-    def allocate(self, vacant: list[SeatKey]) -> list[SeatChange]:
+    def allocate(self, vacant: list[OwnerKey]) -> list[OwnerChange]:
         """Returns the changes that name an owner for each vacant place."""
         changes = []
         open_places = set(vacant)
@@ -48,12 +48,12 @@
         return changes
 
     def used_hosts(
-        self, slice_id: SliceId, vacant: set[SeatKey]
+        self, slice_id: SliceId, vacant: set[OwnerKey]
     ) -> set[HostId]:
         """Returns the hosts that own a slice or are chosen to."""
-        places = [SeatKey(slice_id, index) for index in range(OWNER_COUNT)]
+        places = [OwnerKey(slice_id, index) for index in range(OWNER_COUNT)]
         return {
-            self.taken.get(place, self.table.seats[place].host)
+            self.taken.get(place, self.table.slice_owners[place].host)
             for place in places
             if place not in vacant
         }
@@ -97,12 +97,12 @@
         heapq.heapify(heap)
         return host
 
-    def change(self, place: SeatKey, host: HostId) -> SeatChange:
+    def change(self, place: OwnerKey, host: HostId) -> OwnerChange:
         """Returns the change that names a host."""
-        return SeatChange(
+        return OwnerChange(
             place.slice_id,
             place.index,
-            self.table.seats[place].epoch,
+            self.table.slice_owners[place].epoch,
             host,
             self.incarnations.get(host, Incarnation(0)),
         )
@@ -110,7 +110,7 @@
 
 def misplaced(
     table: SliceTable, host: HostId, zones: dict[HostId, ZoneName]
-) -> list[SeatKey]:
+) -> list[OwnerKey]:
     """Returns places that a host should hand over.
 
     These are its second and third place in a slice, and a place whose zone
@@ -118,10 +118,16 @@
     """
     found = []
     for place in sorted(table.places_of(host)):
-        seats = table.owners(place.slice_id)
-        earlier = [seat.host for seat in seats if seat.index < place.index]
-        used = {seat.host for seat in seats}
-        used_zones = {zones.get(seat.host) for seat in seats}
+        slice_owners = table.owners(place.slice_id)
+        earlier = [
+            slice_owner.host
+            for slice_owner in slice_owners
+            if slice_owner.index < place.index
+        ]
+        used = {slice_owner.host for slice_owner in slice_owners}
+        used_zones = {
+            zones.get(slice_owner.host) for slice_owner in slice_owners
+        }
         free_host = any(other not in used for other in zones)
         free_zone = any(zone not in used_zones for zone in zones.values())
         shares_zone = zones.get(host) in {zones.get(one) for one in earlier}
--- a/teaselcove/buckets.py
+++ b/teaselcove/buckets.py
@@ -33,7 +33,7 @@
     expires: Instant
 
 
-class SeatShare(msgspec.Struct, frozen=True):
+class OwnerShare(msgspec.Struct, frozen=True):
     """The share of one place that the owner holds.
 
     Attributes:
@@ -75,28 +75,36 @@
         self.grants: dict[GrantKey, Grant] = {}
         self.next_slot = now
 
-    def update(self, seats: list[SeatShare], now: Instant) -> None:
+    def update(self, slice_owners: list[OwnerShare], now: Instant) -> None:
         """Takes over the places held now, then earns tokens.
 
         A place that is held under the same epoch as before was held without
         interruption. A new one starts empty when it became active.
         """
-        kept = [seat for seat in seats if seat.place in self.places]
+        kept = [
+            slice_owner
+            for slice_owner in slice_owners
+            if slice_owner.place in self.places
+        ]
         if not kept:
             self.level = float(0)
         self.set_shares(kept)
         self.advance(now)
-        self.set_shares(seats)
-        for new in seats:
+        self.set_shares(slice_owners)
+        for new in slice_owners:
             if new.place not in self.places:
                 earned = new.share.rate * (now - new.active_from)
                 self.add(min(earned, new.share.capacity))
-        self.places = frozenset(seat.place for seat in seats)
+        self.places = frozenset(
+            slice_owner.place for slice_owner in slice_owners
+        )
 
-    def set_shares(self, seats: list[SeatShare]) -> None:
+    def set_shares(self, slice_owners: list[OwnerShare]) -> None:
         """Sets rate and capacity to those of some places."""
-        self.rate = sum(seat.share.rate for seat in seats)
-        self.capacity = sum(seat.share.capacity for seat in seats)
+        self.rate = sum(slice_owner.share.rate for slice_owner in slice_owners)
+        self.capacity = sum(
+            slice_owner.share.capacity for slice_owner in slice_owners
+        )
 
     def advance(self, now: Instant) -> None:
         """Earns tokens up to a time and drops expired grants on the way.
--- a/teaselcove/claim_rounds.py
+++ b/teaselcove/claim_rounds.py
@@ -28,7 +28,7 @@
     TimerId,
 )
 from teaselcove.kernel import Kernel, on, services
-from teaselcove.slices import Seat
+from teaselcove.slices import SliceOwner
 
 MAJORITY = 2
 KEY_DIGEST_BYTES = 16
@@ -54,7 +54,7 @@
     """One vote of the owners.
 
     Attributes:
-        seats: The owners that are asked.
+        slice_owners: The owners that are asked.
         term: Term of the slice that the votes must have.
         granted: Places that voted for the claim.
         replied: Places that voted in any way.
@@ -62,7 +62,7 @@
 
     claim_id: ClaimId
     started_at: Instant
-    seats: tuple[Seat, ...]
+    slice_owners: tuple[SliceOwner, ...]
     term: int
     granted: set[int] = msgspec.field(default_factory=set)
     replied: set[int] = msgspec.field(default_factory=set)
@@ -127,12 +127,15 @@
 
     def start_round(self, claim: Claim, now: Instant) -> None:
         """Asks all owners for their votes under a new claim id."""
-        seats = self.kernel.service('ownership').owners(claim.slice_id)
+        slice_owners = self.kernel.service('ownership').owners(claim.slice_id)
         term = self.kernel.service('claim_sync').term(claim.slice_id)
         claim_id = self.kernel.service('claim_endings').begin()
-        claim.current = Round(claim_id, now, seats, term)
+        claim.current = Round(claim_id, now, slice_owners, term)
         self.by_number[claim_id.number] = claim
-        owners = {seat.host: seat.incarnation for seat in seats}
+        owners = {
+            slice_owner.host: slice_owner.incarnation
+            for slice_owner in slice_owners
+        }
         for host, incarnation in sorted(owners.items()):
             self.ask(claim, claim.current, host, incarnation, now)
         self.set_timer(claim, now + ROUND_S, self.end_round)
@@ -191,9 +194,10 @@
     ) -> set[int]:
         """Returns the places of a voter in a round."""
         return {
-            seat.index
-            for seat in current.seats
-            if seat.host == sender and seat.incarnation == vote.owner
+            slice_owner.index
+            for slice_owner in current.slice_owners
+            if slice_owner.host == sender
+            and slice_owner.incarnation == vote.owner
         }
 
     def note_verdict(self, claim: Claim, vote: ClaimVote, now: Instant) -> None:
@@ -210,7 +214,7 @@
         if vote.verdict is not Verdict.GRANTED:
             claim.may_have_run |= vote.verdict is not Verdict.NOT_VOTING
         if claim.current and len(claim.current.replied) == len(
-            claim.current.seats
+            claim.current.slice_owners
         ):
             self.end_round(claim, now)
 
@@ -313,7 +317,10 @@
             answer,
         )
         present = self.kernel.service('ownership').owners(claim.slice_id)
-        hosts = {seat.host for seat in (*current.seats, *present)}
+        hosts = {
+            slice_owner.host
+            for slice_owner in (*current.slice_owners, *present)
+        }
         self.kernel.service('claim_endings').end(end, hosts, now)
 
     def may_dial(self, request_id: RequestId, now: Instant) -> bool:
--- a/teaselcove/claim_sync.py
+++ b/teaselcove/claim_sync.py
@@ -7,7 +7,7 @@
 from teaselcove.events import OwnershipChanged
 from teaselcove.ids import HostId, Instant, SliceId
 from teaselcove.kernel import Kernel, on, services
-from teaselcove.slices import Seat, SeatKey
+from teaselcove.slices import OwnerKey, SliceOwner
 
 SYNC_INTERVAL_S = 0.2
 PAGE_BYTES = 256 * 1024
@@ -51,8 +51,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
-        self.ready: dict[SeatKey, int] = {}
-        self.syncs: dict[SeatKey, Sync] = {}
+        self.ready: dict[OwnerKey, int] = {}
+        self.syncs: dict[OwnerKey, Sync] = {}
         self.is_ticking = False
 
     def term(self, slice_id: SliceId) -> int:
@@ -61,8 +61,8 @@
         Each change of an owner raises one epoch by one, and all hosts fold
         the changes in the same order, so a term names one set of owners.
         """
-        seats = self.kernel.service('ownership').owners(slice_id)
-        return sum(seat.epoch for seat in seats)
+        slice_owners = self.kernel.service('ownership').owners(slice_id)
+        return sum(slice_owner.epoch for slice_owner in slice_owners)
 
     def voting_indices(
         self, slice_id: SliceId, now: Instant
@@ -70,13 +70,15 @@
         """Returns the places that this process may vote for."""
         owned = self.kernel.service('ownership').owned(slice_id, now)
         return tuple(
-            seat.index for seat in owned if self.is_ready(slice_id, seat)
+            slice_owner.index
+            for slice_owner in owned
+            if self.is_ready(slice_id, slice_owner)
         )
 
-    def is_ready(self, slice_id: SliceId, seat: Seat) -> bool:
+    def is_ready(self, slice_id: SliceId, slice_owner: SliceOwner) -> bool:
         """Returns whether this process has the claims for a place."""
-        place = SeatKey(slice_id, seat.index)
-        return self.ready.get(place) == seat.epoch
+        place = OwnerKey(slice_id, slice_owner.index)
+        return self.ready.get(place) == slice_owner.epoch
 
     @on(OwnershipChanged)
     def ownership_changed(self, event: OwnershipChanged, now: Instant) -> None:
@@ -85,21 +87,25 @@
         host = self.kernel.settings.host
         ownership = self.kernel.service('ownership')
         for slice_id in sorted(event.slices):
-            for seat in ownership.owners(slice_id):
-                if seat.host == host and seat.incarnation == own:
-                    self.begin(SeatKey(slice_id, seat.index), seat, now)
+            for slice_owner in ownership.owners(slice_id):
+                if slice_owner.host == host and slice_owner.incarnation == own:
+                    self.begin(
+                        OwnerKey(slice_id, slice_owner.index), slice_owner, now
+                    )
         if self.syncs and not self.is_ticking:
             self.tick(now)
 
-    def begin(self, place: SeatKey, seat: Seat, now: Instant) -> None:
+    def begin(
+        self, place: OwnerKey, slice_owner: SliceOwner, now: Instant
+    ) -> None:
         """Notes a place that this process got."""
-        if not seat.succeeds:
-            self.ready[place] = seat.epoch
-        if self.ready.get(place) == seat.epoch:
+        if not slice_owner.succeeds:
+            self.ready[place] = slice_owner.epoch
+        if self.ready.get(place) == slice_owner.epoch:
             return
         sync = self.syncs.get(place)
-        if sync is None or sync.epoch != seat.epoch:
-            self.syncs[place] = Sync(seat.epoch, now)
+        if sync is None or sync.epoch != slice_owner.epoch:
+            self.syncs[place] = Sync(slice_owner.epoch, now)
 
     def tick(self, now: Instant) -> None:
         """Asks for claims at intervals while places cannot vote."""
@@ -109,7 +115,7 @@
         if self.is_ticking:
             self.kernel.call_at(Instant(now + SYNC_INTERVAL_S), self.tick)
 
-    def advance(self, place: SeatKey, now: Instant) -> None:
+    def advance(self, place: OwnerKey, now: Instant) -> None:
         """Ends the copy for a place, or asks for what is missing."""
         sync = self.syncs[place]
         ownership = self.kernel.service('ownership')
@@ -117,8 +123,8 @@
         if not ownership.has_authority:
             return
         if not any(
-            seat.index == place.index and seat.epoch == sync.epoch
-            for seat in owned
+            slice_owner.index == place.index and slice_owner.epoch == sync.epoch
+            for slice_owner in owned
         ):
             self.syncs.pop(place)
             return
@@ -127,19 +133,20 @@
         if not missing or now - sync.since >= SYNC_LIMIT_S:
             self.finish(place, now)
             return
-        for seat in missing:
-            self.ask(place, sync, seat, now)
+        for slice_owner in missing:
+            self.ask(place, sync, slice_owner, now)
 
-    def missing(self, place: SeatKey, sync: Sync) -> list[Seat]:
+    def missing(self, place: OwnerKey, sync: Sync) -> list[SliceOwner]:
         """Returns the other owners whose claims are not complete here."""
         owners = self.kernel.service('ownership').owners(place.slice_id)
         return [
-            seat
-            for seat in owners
-            if seat.index != place.index and seat.index not in sync.received
+            slice_owner
+            for slice_owner in owners
+            if slice_owner.index != place.index
+            and slice_owner.index not in sync.received
         ]
 
-    def refresh_term(self, place: SeatKey, sync: Sync) -> None:
+    def refresh_term(self, place: OwnerKey, sync: Sync) -> None:
         """Starts again if the owners of the slice have changed."""
         term = self.term(place.slice_id)
         if sync.term != term:
@@ -147,7 +154,7 @@
             sync.received.clear()
             sync.after.clear()
 
-    def finish(self, place: SeatKey, now: Instant) -> None:
+    def finish(self, place: OwnerKey, now: Instant) -> None:
         """Lets a place vote."""
         sync = self.syncs.pop(place)
         self.ready[place] = sync.epoch
@@ -158,15 +165,17 @@
             waited=now - sync.since,
         )
 
-    def ask(self, place: SeatKey, sync: Sync, seat: Seat, now: Instant) -> None:
+    def ask(
+        self, place: OwnerKey, sync: Sync, slice_owner: SliceOwner, now: Instant
+    ) -> None:
         """Asks the owner of another place for its claims."""
         wanted = ClaimsWanted(
             place.slice_id,
             sync.term,
-            seat.incarnation,
-            sync.after.get(seat.index),
+            slice_owner.incarnation,
+            sync.after.get(slice_owner.index),
         )
-        send(self.kernel, seat.host, wanted, now)
+        send(self.kernel, slice_owner.host, wanted, now)
 
     @on(ClaimsWanted)
     def claims_wanted(
@@ -204,9 +213,11 @@
         """Stores the claims of another owner of the present term."""
         owner = self.kernel.service('claim_owner')
         senders = {
-            seat.index
-            for seat in self.kernel.service('ownership').owners(page.slice_id)
-            if seat.host == sender and seat.index in page.indices
+            slice_owner.index
+            for slice_owner in self.kernel.service('ownership').owners(
+                page.slice_id
+            )
+            if slice_owner.host == sender and slice_owner.index in page.indices
         }
         if page.term != self.term(page.slice_id) or not senders:
             return
--- a/teaselcove/grants.py
+++ b/teaselcove/grants.py
@@ -8,7 +8,7 @@
     TOLERANCE,
     GrantKey,
     OwnerBucket,
-    SeatShare,
+    OwnerShare,
 )
 from teaselcove.effects import Send
 from teaselcove.entities import Organisation
@@ -17,7 +17,7 @@
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.messages import message
 from teaselcove.shares import Share, share_of
-from teaselcove.slices import SeatKey, slice_of
+from teaselcove.slices import OwnerKey, slice_of
 
 # Grants of an earlier owner may be used until then.
 HANDOVER_S = GRANT_LIFETIME_S + DRIFT_MARGIN_S
@@ -103,7 +103,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.buckets: dict[OrganisationId, OwnerBucket] = {}
-        self.active_from: dict[SeatKey, tuple[int, Instant]] = {}
+        self.active_from: dict[OwnerKey, tuple[int, Instant]] = {}
         self.seen: dict[OrganisationId, Organisation] = {}
         self.earlier: dict[
             OrganisationId, list[tuple[Organisation, Instant]]
@@ -119,12 +119,12 @@
         """Lets new places wait until grants of the last owner expire."""
         ownership = self.kernel.service('ownership')
         for slice_id in event.slices:
-            for seat in ownership.owners(slice_id):
-                place = SeatKey(slice_id, seat.index)
+            for slice_owner in ownership.owners(slice_id):
+                place = OwnerKey(slice_id, slice_owner.index)
                 epoch, _ = self.active_from.get(place, (0, now))
-                if epoch != seat.epoch:
+                if epoch != slice_owner.epoch:
                     start = Instant(now + HANDOVER_S)
-                    self.active_from[place] = (seat.epoch, start)
+                    self.active_from[place] = (slice_owner.epoch, start)
 
     def bucket(
         self, organisation: OrganisationId, now: Instant
@@ -137,28 +137,30 @@
             return None
         if not configuration.may_serve(now):
             return None
-        seats = self.seat_shares(declared, now)
+        slice_owners = self.owner_shares(declared, now)
         bucket = self.buckets.get(organisation)
         if bucket is None:
-            if not seats:
+            if not slice_owners:
                 return None
             bucket = OwnerBucket(now)
             self.buckets[organisation] = bucket
-        bucket.update(seats, now)
+        bucket.update(slice_owners, now)
         return bucket if bucket.capacity else None
 
-    def seat_shares(
+    def owner_shares(
         self, declared: Organisation, now: Instant
-    ) -> list[SeatShare]:
+    ) -> list[OwnerShare]:
         """Returns the places that this host may spend tokens for."""
         slice_id = slice_of(declared.id)
         found = []
-        for seat in self.kernel.service('ownership').owned(slice_id, now):
-            place = SeatKey(slice_id, seat.index)
+        for slice_owner in self.kernel.service('ownership').owned(
+            slice_id, now
+        ):
+            place = OwnerKey(slice_id, slice_owner.index)
             epoch, start = self.active_from.get(place, (0, now))
-            if epoch == seat.epoch and start <= now:
-                share = self.lowest_share(declared, seat.index, now)
-                found.append(SeatShare(seat.index, epoch, share, start))
+            if epoch == slice_owner.epoch and start <= now:
+                share = self.lowest_share(declared, slice_owner.index, now)
+                found.append(OwnerShare(slice_owner.index, epoch, share, start))
         return found
 
     def lowest_share(
--- a/teaselcove/lease.py
+++ b/teaselcove/lease.py
@@ -21,7 +21,7 @@
     RateVerdict,
     limiters,
 )
-from teaselcove.slices import SeatKey, slice_of
+from teaselcove.slices import OwnerKey, slice_of
 
 LEASE_S = 2.0
 # Clocks of two hosts may differ in speed by a tenth.
@@ -96,7 +96,7 @@
         self.kernel = kernel
         self.leases: dict[OrganisationId, HostLease] = {}
         self.lessees: dict[OrganisationId, dict[HostId, Lessee]] = {}
-        self.active_from: dict[SeatKey, Instant] = {}
+        self.active_from: dict[OwnerKey, Instant] = {}
 
     @property
     def incarnation(self) -> Incarnation:
@@ -160,7 +160,7 @@
     @on(AskLease)
     def lease_asked(self, sender: HostId, ask: AskLease, now: Instant) -> None:
         """Leases what other hosts do not have, by demand."""
-        place = SeatKey(slice_of(ask.organisation), 0)
+        place = OwnerKey(slice_of(ask.organisation), 0)
         ownership = self.kernel.service('ownership')
         owns = ownership.is_owner(place.slice_id, now) == 0
         if ask.owner_incarnation != self.incarnation or not owns:
@@ -221,7 +221,7 @@
     def ownership_changed(self, event: OwnershipChanged, now: Instant) -> None:
         """Forgets lessees of changed slices and waits for their leases."""
         for slice_id in event.slices:
-            self.active_from[SeatKey(slice_id, 0)] = Instant(now + HANDOVER_S)
+            self.active_from[OwnerKey(slice_id, 0)] = Instant(now + HANDOVER_S)
         self.lessees = {
             name: lessees
             for name, lessees in self.lessees.items()
--- a/teaselcove/owner_choice.py
+++ b/teaselcove/owner_choice.py
@@ -6,7 +6,7 @@
 from teaselcove.kernel import Kernel
 from teaselcove.placement import rendezvous_score
 from teaselcove.shares import share_of
-from teaselcove.slices import Seat, slice_of
+from teaselcove.slices import SliceOwner, slice_of
 
 # An owner that did not answer is left out for this long.
 UNREACHABLE_S = 1.0
@@ -53,30 +53,36 @@
         """
         others = self.other_owners(declared)
         reachable = [
-            seat for seat in others if self.avoided.get(seat.host, 0) <= now
+            slice_owner
+            for slice_owner in others
+            if self.avoided.get(slice_owner.host, 0) <= now
         ]
         asked = reachable if answered or reachable else others
         best = min(
-            (seat for seat in asked if seat.host not in tried),
+            (
+                slice_owner
+                for slice_owner in asked
+                if slice_owner.host not in tried
+            ),
             key=self.distance,
             default=None,
         )
         return best and Owner(best.host, best.incarnation)
 
-    def other_owners(self, declared: Organisation) -> list[Seat]:
+    def other_owners(self, declared: Organisation) -> list[SliceOwner]:
         """Returns the owners at other hosts that have a share."""
         owners = self.kernel.service('ownership').owners(slice_of(declared.id))
         return [
-            seat
-            for seat in owners
-            if seat.host != self.kernel.settings.host
-            and seat.incarnation
-            and share_of(declared, seat.index).capacity
+            slice_owner
+            for slice_owner in owners
+            if slice_owner.host != self.kernel.settings.host
+            and slice_owner.incarnation
+            and share_of(declared, slice_owner.index).capacity
         ]
 
-    def distance(self, seat: Seat) -> tuple[bool, int]:
+    def distance(self, slice_owner: SliceOwner) -> tuple[bool, int]:
         """Returns the rank of an owner for this host; lowest is first."""
         settings = self.kernel.settings
-        entry = self.kernel.service('membership').hosts.get(seat.host)
+        entry = self.kernel.service('membership').hosts.get(slice_owner.host)
         is_far = entry is None or entry.zone != settings.zone
-        return is_far, rendezvous_score(settings.host, seat.host)
+        return is_far, rendezvous_score(settings.host, slice_owner.host)
--- a/teaselcove/ownership.py
+++ b/teaselcove/ownership.py
@@ -20,9 +20,9 @@
 )
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.slices import (
+    OwnerKey,
     OwnershipRecord,
-    Seat,
-    SeatKey,
+    SliceOwner,
     SliceTable,
     slice_of,
 )
@@ -51,7 +51,7 @@
         self.has_authority = False
         self.is_reading = False
         self.read_is_stale = False
-        self.surrendered: dict[SeatKey, int] = {}
+        self.surrendered: dict[OwnerKey, int] = {}
 
     @property
     def host(self) -> HostId:
@@ -71,27 +71,27 @@
         """Returns the slice of an organisation."""
         return slice_of(organisation)
 
-    def owners(self, slice_id: SliceId) -> tuple[Seat, ...]:
+    def owners(self, slice_id: SliceId) -> tuple[SliceOwner, ...]:
         """Returns the owners of a slice by index; fewer before allocation."""
         return self.table.owners(slice_id)
 
-    def owned(self, slice_id: SliceId, now: Instant) -> tuple[Seat, ...]:
+    def owned(self, slice_id: SliceId, now: Instant) -> tuple[SliceOwner, ...]:
         """Returns the places of a slice that this process may act for."""
         if not self.has_authority:
             return ()
         return tuple(
-            seat
-            for seat in self.table.owners(slice_id)
-            if seat.host == self.host
-            and seat.incarnation == self.incarnation
-            and self.surrendered.get(SeatKey(slice_id, seat.index))
-            != seat.epoch
+            slice_owner
+            for slice_owner in self.table.owners(slice_id)
+            if slice_owner.host == self.host
+            and slice_owner.incarnation == self.incarnation
+            and self.surrendered.get(OwnerKey(slice_id, slice_owner.index))
+            != slice_owner.epoch
         )
 
     def is_owner(self, slice_id: SliceId, now: Instant) -> int | None:
         """Returns the first index that this process may act for, or None."""
-        seats = self.owned(slice_id, now)
-        return seats[0].index if seats else None
+        slice_owners = self.owned(slice_id, now)
+        return slice_owners[0].index if slice_owners else None
 
     def read_at_intervals(self, now: Instant) -> None:
         """Reads the stream unless a read is under way."""
@@ -139,10 +139,10 @@
         self.read_is_stale = self.is_reading
         self.read(now)
 
-    def own_places(self) -> list[SeatKey]:
+    def own_places(self) -> list[OwnerKey]:
         """Returns the places of this process."""
         return sorted(
             place
             for place in self.table.places_of(self.host)
-            if self.table.seats[place].incarnation == self.incarnation
+            if self.table.slice_owners[place].incarnation == self.incarnation
         )
--- a/teaselcove/proposals.py
+++ b/teaselcove/proposals.py
@@ -19,7 +19,7 @@
 from teaselcove.kernel import Kernel, on, services
 from teaselcove.ownership import STREAM, Ownership
 from teaselcove.placement import rendezvous_score
-from teaselcove.slices import NO_HOST, OwnershipRecord, SeatChange, SeatKey
+from teaselcove.slices import NO_HOST, OwnerChange, OwnerKey, OwnershipRecord
 
 # The platform may show a host this long after it is gone, and may miss one
 # this long after it came back.
@@ -122,7 +122,7 @@
             changes = self.hand_over(self.surplus(now), now)
         self.append(changes, now)
 
-    def append(self, changes: list[SeatChange], now: Instant) -> None:
+    def append(self, changes: list[OwnerChange], now: Instant) -> None:
         """Appends changes in as few records as their size allows."""
         for start in range(0, len(changes), CHANGES_PER_RECORD):
             part = tuple(changes[start : start + CHANGES_PER_RECORD])
@@ -134,7 +134,7 @@
             self.quiet_until = Instant(now + REPEAT_S)
             self.kernel.decide('ownership', changes=len(changes))
 
-    def surplus(self, now: Instant) -> list[SeatKey]:
+    def surplus(self, now: Instant) -> list[OwnerKey]:
         """Returns own places that are better off at another host."""
         ownership = self.ownership
         state = (ownership.next_offset, tuple(sorted(self.listed)))
@@ -148,7 +148,7 @@
             self.placed_well = state
         return found
 
-    def own_restart(self) -> list[SeatChange]:
+    def own_restart(self) -> list[OwnerChange]:
         """Returns changes that replace earlier processes of this host.
 
         This process has bound the host's address, so they are gone.
@@ -169,8 +169,8 @@
         ]
 
     def hand_over(
-        self, places: list[SeatKey], now: Instant
-    ) -> list[SeatChange]:
+        self, places: list[OwnerKey], now: Instant
+    ) -> list[OwnerChange]:
         """Returns changes that name successors, and gives the places up.
 
         The places are given up before the record is written: the successor
@@ -184,11 +184,11 @@
         )
         changes = allocator.allocate(places)
         for change in changes:
-            place = SeatKey(change.slice_id, change.index)
+            place = OwnerKey(change.slice_id, change.index)
             self.ownership.surrendered[place] = change.base
         return changes
 
-    def vacant_places(self, now: Instant) -> list[SeatKey]:
+    def vacant_places(self, now: Instant) -> list[OwnerKey]:
         """Returns places that were never given or whose owner is gone."""
         gone = [
             host
--- a/teaselcove/slices.py
+++ b/teaselcove/slices.py
@@ -14,7 +14,7 @@
 NO_INCARNATION = Incarnation(0)
 
 
-class Seat(msgspec.Struct, frozen=True):
+class SliceOwner(msgspec.Struct, frozen=True):
     """One of the owners of a slice.
 
     Attributes:
@@ -32,14 +32,14 @@
     succeeds: bool = False
 
 
-class SeatKey(msgspec.Struct, frozen=True, order=True):
+class OwnerKey(msgspec.Struct, frozen=True, order=True):
     """Identifies an owner's place: slice and index."""
 
     slice_id: SliceId
     index: int
 
 
-class SeatChange(msgspec.Struct, frozen=True, array_like=True):
+class OwnerChange(msgspec.Struct, frozen=True, array_like=True):
     """Names the owner of one place.
 
     Attributes:
@@ -56,7 +56,7 @@
 class OwnershipRecord(msgspec.Struct, frozen=True, array_like=True):
     """A record of the stream `ownership`; each change wins or loses alone."""
 
-    changes: tuple[SeatChange, ...]
+    changes: tuple[OwnerChange, ...]
 
 
 def slice_of(organisation: OrganisationId) -> SliceId:
@@ -65,10 +65,10 @@
     return SliceId(int.from_bytes(digest, 'big') % SLICE_COUNT)
 
 
-def all_places() -> list[SeatKey]:
+def all_places() -> list[OwnerKey]:
     """Returns the places of all owners of all slices."""
     return [
-        SeatKey(SliceId(slice_id), index)
+        OwnerKey(SliceId(slice_id), index)
         for slice_id in range(SLICE_COUNT)
         for index in range(OWNER_COUNT)
     ]
@@ -78,22 +78,24 @@
     """The owners of all slices, as folded from the records in order.
 
     Attributes:
-        seats: Owner by place.
+        slice_owners: Owner by place.
         by_host: Places by the host that is named for them.
         by_slice: Owners that were named, by slice and in order of index.
     """
 
     def __init__(self) -> None:
-        self.seats = {place: Seat(place.index) for place in all_places()}
-        self.by_host: dict[HostId, set[SeatKey]] = defaultdict(set)
-        self.by_host[NO_HOST].update(self.seats)
-        self.by_slice: dict[SliceId, tuple[Seat, ...]] = {}
-
-    def owners(self, slice_id: SliceId) -> tuple[Seat, ...]:
+        self.slice_owners = {
+            place: SliceOwner(place.index) for place in all_places()
+        }
+        self.by_host: dict[HostId, set[OwnerKey]] = defaultdict(set)
+        self.by_host[NO_HOST].update(self.slice_owners)
+        self.by_slice: dict[SliceId, tuple[SliceOwner, ...]] = {}
+
+    def owners(self, slice_id: SliceId) -> tuple[SliceOwner, ...]:
         """Returns the owners of a slice by index, without empty places."""
         return self.by_slice.get(slice_id, ())
 
-    def places_of(self, host: HostId) -> set[SeatKey]:
+    def places_of(self, host: HostId) -> set[OwnerKey]:
         """Returns the places that a host is named for."""
         return self.by_host.get(host, set())
 
@@ -105,27 +107,29 @@
                 self.apply(change)
                 changed.add(change.slice_id)
         for slice_id in changed:
-            seats = [
-                self.seats[SeatKey(slice_id, index)]
+            slice_owners = [
+                self.slice_owners[OwnerKey(slice_id, index)]
                 for index in range(OWNER_COUNT)
             ]
             self.by_slice[slice_id] = tuple(
-                seat for seat in seats if seat.epoch
+                slice_owner for slice_owner in slice_owners if slice_owner.epoch
             )
         return frozenset(changed)
 
-    def wins(self, change: SeatChange) -> bool:
+    def wins(self, change: OwnerChange) -> bool:
         """Returns whether a change is based on the present epoch."""
-        seat = self.seats.get(SeatKey(change.slice_id, change.index))
-        return seat is not None and seat.epoch == change.base
+        slice_owner = self.slice_owners.get(
+            OwnerKey(change.slice_id, change.index)
+        )
+        return slice_owner is not None and slice_owner.epoch == change.base
 
-    def apply(self, change: SeatChange) -> None:
+    def apply(self, change: OwnerChange) -> None:
         """Names an owner."""
-        place = SeatKey(change.slice_id, change.index)
-        previous = self.seats[place]
+        place = OwnerKey(change.slice_id, change.index)
+        previous = self.slice_owners[place]
         self.by_host[previous.host].discard(place)
         self.by_host[change.host].add(place)
-        self.seats[place] = Seat(
+        self.slice_owners[place] = SliceOwner(
             change.index,
             change.host,
             change.incarnation,
--- a/tests/claim_fleet.py
+++ b/tests/claim_fleet.py
@@ -200,7 +200,7 @@
     """Returns the hosts that own the slice of the test organisation."""
     ownership = fleet.hosts[observer].kernel.service('ownership')
     slice_id = ownership.slice_of(ENTITIES.organisations[0].id)
-    return [seat.host for seat in ownership.owners(slice_id)]
+    return [slice_owner.host for slice_owner in ownership.owners(slice_id)]
 
 
 def seeded_behaviours(seed: int, count: int) -> list:
--- a/tests/test_buckets.py
+++ b/tests/test_buckets.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from teaselcove.buckets import GrantKey, OwnerBucket, SeatShare
+from teaselcove.buckets import GrantKey, OwnerBucket, OwnerShare
 from teaselcove.shares import Share
 
 KEY = GrantKey('host-2', 2, 1)
@@ -11,7 +11,7 @@
 def make_bucket(rate: float = 1, capacity: int = 4) -> OwnerBucket:
     """Returns a bucket that is full at the time 10."""
     bucket = OwnerBucket(0)
-    bucket.update([SeatShare(0, 1, Share(rate, capacity), 0)], 10)
+    bucket.update([OwnerShare(0, 1, Share(rate, capacity), 0)], 10)
     return bucket
 
 
@@ -60,7 +60,7 @@
     def test_place_lost_and_regained(self) -> None:
         """Guards against earning while another host owned the place."""
         bucket = make_bucket()
-        bucket.update([SeatShare(0, 3, Share(1, 4), 20)], 21)
+        bucket.update([OwnerShare(0, 3, Share(1, 4), 20)], 21)
         assert bucket.level == pytest.approx(1)
 
     def test_no_rate(self) -> None:
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -11,7 +11,7 @@
 from teaselcove.events import DrainRequested, PeerMessageReceived
 from teaselcove.grants import AskTokens, GrantTokens, SettleGrants, Settlement
 from teaselcove.rates import RateState
-from teaselcove.slices import Seat
+from teaselcove.slices import SliceOwner
 
 ORGANISATIONS = (
     Organisation('whole', rate=4, burst=2),
@@ -26,7 +26,7 @@
 )
 
 
-def owners(run: FaultRun) -> tuple[Seat, ...]:
+def owners(run: FaultRun) -> tuple[SliceOwner, ...]:
     """Returns the owners as the first host without a pause sees them."""
     kernel = max(
         (host.kernel for host in run.fleet.hosts.values()),
@@ -60,13 +60,13 @@
         run = FaultRun(ORGANISATIONS, seed=1, hosts=5)
         run.load = 0.001
         run.pass_time(10)
-        seats = owners(run)
-        paused = sorted(run.fleet.hosts).index(seats[0].host)
+        slice_owners = owners(run)
+        paused = sorted(run.fleet.hosts).index(slice_owners[0].host)
         run.run([Step(0, 'drop_paused', paused, 0.75)], 15.9)
-        assert owners(run)[0].host != seats[0].host
+        assert owners(run)[0].host != slice_owners[0].host
         run.fleet.log.available = False
         run.pass_time(0.2)
-        for name in (owners(run)[0].host, seats[0].host):
+        for name in (owners(run)[0].host, slice_owners[0].host):
             for number in range(30):
                 wanted = TokenWanted(f'{name}-{number}', 'split')
                 run.fleet.handle(name, wanted)
@@ -96,7 +96,7 @@
     def test_no_owner_reachable(self) -> None:
         """Guards against a refusal as over rate without any evidence."""
         run = FaultRun(ORGANISATIONS, seed=1, hosts=7)
-        names = {seat.host for seat in owners(run)}
+        names = {slice_owner.host for slice_owner in owners(run)}
         asker = sorted(run.fleet.hosts.keys() - names)[0]
         for name in names:
             run.fleet.cut(name, asker)
@@ -108,7 +108,7 @@
         """Guards against refusing although another owner has tokens."""
         run = FaultRun(ORGANISATIONS, seed=1, hosts=7)
         run.fleet.run_until(10)
-        names = sorted(seat.host for seat in owners(run))
+        names = sorted(slice_owner.host for slice_owner in owners(run))
         asker = sorted(run.fleet.hosts.keys() - set(names))[0]
         for name in names[:2]:
             run.fleet.cut(asker, name)
@@ -136,7 +136,7 @@
     def test_other_incarnation(self, wrong: str) -> None:
         """Guards against grants to or from an earlier process."""
         run = FaultRun(ORGANISATIONS, seed=1, hosts=7)
-        names = {seat.host for seat in owners(run)}
+        names = {slice_owner.host for slice_owner in owners(run)}
         asker = sorted(run.fleet.hosts.keys() - names)[0]
         host = run.fleet.hosts[asker]
         kernel = host.kernel
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,8 +9,8 @@
 from teaselcove.ownership import STREAM, Ownership
 from teaselcove.slices import (
     SLICE_COUNT,
+    OwnerChange,
     OwnershipRecord,
-    SeatChange,
     SliceTable,
     all_places,
 )
@@ -28,7 +28,9 @@
         for name, slice_id in product(fleet.hosts, range(SLICE_COUNT))
     ]
     return sorted(
-        (slice_id, seat.index) for slice_id, seats in owned for seat in seats
+        (slice_id, slice_owner.index)
+        for slice_id, slice_owners in owned
+        for slice_owner in slice_owners
     )
 
 
@@ -41,11 +43,13 @@
     def test_first_record_wins(self) -> None:
         """Guards against two owners after a race of proposers."""
         table = SliceTable()
-        first = SeatChange(7, 1, 0, 'host-1', 1)
-        second = SeatChange(7, 1, 0, 'host-2', 2)
+        first = OwnerChange(7, 1, 0, 'host-1', 1)
+        second = OwnerChange(7, 1, 0, 'host-2', 2)
         assert table.fold(OwnershipRecord((first, second))) == {7}
         assert not table.fold(OwnershipRecord((second,)))
-        assert [seat.host for seat in table.owners(7)] == ['host-1']
+        assert [slice_owner.host for slice_owner in table.owners(7)] == [
+            'host-1'
+        ]
 
 
 class TestOwnership:
@@ -58,8 +62,11 @@
         assert acting(fleet) == ALL_PLACES
         assert len(fleet.log.streams[STREAM]) <= 2
         for slice_id in range(SLICE_COUNT):
-            seats = ownership(fleet, 'host-1').owners(slice_id)
-            zones = {fleet.hosts[seat.host].entry.zone for seat in seats}
+            slice_owners = ownership(fleet, 'host-1').owners(slice_id)
+            zones = {
+                fleet.hosts[slice_owner.host].entry.zone
+                for slice_owner in slice_owners
+            }
             assert len(zones) == 3
 
     def test_single_host(self) -> None:
