Refuse paths with dot segments; carry refusals in results

Cause: a backend server may resolve dot segments, so a path on a route open to all could name a call that needs a key. Such paths are refused as bad-request. The checks of route and key return results of the library returns.

--- a/teaselcove/acceptance.py
+++ b/teaselcove/acceptance.py
@@ -1,5 +1,7 @@
 """Checks that a request has a route and a key that may use it."""
 
+from returns.result import Failure, Result, Success
+
 from teaselcove.entities import Route
 from teaselcove.errors import Reason, Refusal, not_run
 from teaselcove.events import RequestArrived
@@ -19,46 +21,45 @@
 
     def accept(
         self, event: RequestArrived, now: Instant
-    ) -> RequestState | Refusal:
+    ) -> Result[RequestState, Refusal]:
         """Returns the state of a valid request, or its refusal."""
         if self.kernel.service('drain').refuses(now):
-            return not_run(Reason.DRAINING)
+            return Failure(not_run(Reason.DRAINING))
         configuration = self.kernel.service('configuration')
         if not configuration.version:
-            return not_run(Reason.NO_CONFIGURATION)
+            return Failure(not_run(Reason.NO_CONFIGURATION))
         route = configuration.route_for(event.path)
         if route is None:
-            return not_run(Reason.NO_ROUTE)
-        identity = self.identify(event, route, now)
-        if isinstance(identity, Refusal):
-            return identity
+            return Failure(not_run(Reason.NO_ROUTE))
         if self.kernel.service('retries').is_crashing(event.body_digest, now):
-            return not_run(Reason.CRASHING_REQUEST)
+            return Failure(not_run(Reason.CRASHING_REQUEST))
         timeout = route.timeout_ms / MS_PER_S
         if event.timeout is not None:
             timeout = min(timeout, event.timeout)
-        return RequestState(
-            event,
-            route,
-            identity,
-            route.is_idempotent(event.method, event.path),
-            Instant(now + timeout),
+        return self.identify(event, route, now).map(
+            lambda identity: RequestState(
+                event,
+                route,
+                identity,
+                route.is_idempotent(event.method, event.path),
+                Instant(now + timeout),
+            )
         )
 
     def identify(
         self, event: RequestArrived, route: Route, now: Instant
-    ) -> Identity | Refusal:
+    ) -> Result[Identity, Refusal]:
         """Returns for whom a request runs, or why it may not."""
         if event.key is None and route.open:
-            return Identity(OPEN_ORGANISATION, None)
+            return Success(Identity(OPEN_ORGANISATION, None))
         if not self.kernel.service('configuration').may_serve(now):
-            return not_run(Reason.ISOLATED)
+            return Failure(not_run(Reason.ISOLATED))
         key = None
         if event.key is not None:
             key = self.kernel.service('keys').check(event.key)
         if key is None:
-            return not_run(Reason.BAD_KEY)
+            return Failure(not_run(Reason.BAD_KEY))
         allowed = route.organisations
         if allowed and key.organisation not in allowed:
-            return not_run(Reason.NOT_ALLOWED)
-        return Identity(key.organisation, key.id)
+            return Failure(not_run(Reason.NOT_ALLOWED))
+        return Success(Identity(key.organisation, key.id))
--- a/teaselcove/requests.py
+++ b/teaselcove/requests.py
@@ -2,6 +2,8 @@
 
 import itertools
 
+from returns.pipeline import is_successful
+
 from teaselcove.admission import Ticket
 from teaselcove.attempts import Attempt
 from teaselcove.claims import ClaimResult, ClaimState
@@ -47,10 +49,11 @@
     def request_arrived(self, event: RequestArrived, now: Instant) -> None:
         """Checks route and key, then asks for a token of the rate."""
         acceptance = self.kernel.service('acceptance')
-        accepted = acceptance.accept(event, now)
-        if isinstance(accepted, Refusal):
-            self.emit_refusal(event.request_id, accepted)
+        decided = acceptance.accept(event, now)
+        if not is_successful(decided):
+            self.emit_refusal(event.request_id, decided.failure())
             return
+        accepted = decided.unwrap()
         self.states[event.request_id] = accepted
         accepted.timer = self.kernel.call_at(
             accepted.deadline, lambda later: self.expire(accepted, later)
--- a/teaselcove/server.py
+++ b/teaselcove/server.py
@@ -31,6 +31,7 @@
 DIGEST_BYTES = 16
 OK_STATUS = 200
 MAX_IDEMPOTENCY_KEY = 256
+DOT_SEGMENTS = frozenset(('.', '..'))
 MAX_HEADER_BYTES = 32 * 1024
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
@@ -175,8 +176,12 @@
     """Returns the event of a request.
 
     Raises:
-        BadRequestError: If a header has a value that cannot be used.
+        BadRequestError: If path or headers cannot be used.
     """
+    # A backend server might resolve dot segments, so that a path on a route
+    # open to all names a call that needs a key.
+    if DOT_SEGMENTS & set(scope['path'].split('/')):
+        raise BadRequestError(Reason.BAD_REQUEST)
     idempotency_key = headers.get(IDEMPOTENCY_HEADER)
     if len(idempotency_key or '') > MAX_IDEMPOTENCY_KEY:
         raise BadRequestError(Reason.BAD_REQUEST)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,5 +1,6 @@
 """Tests of the host process with real sockets."""
 
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -7,7 +8,13 @@
 
 from standins.account import decisions
 from standins.backend import Fault
-from standins.deployment import Deployment, Shape, get_json, put_json
+from standins.deployment import (
+    Deployment,
+    Shape,
+    get_json,
+    put_json,
+    split_address,
+)
 
 # Health compares servers only once it knows how long calls usually take.
 WARM_UP_CALLS = 40
@@ -108,6 +115,39 @@
         stages = [line['stage'] for line in decisions(directory, 'stage')]
         return 'out' in stages
 
+    @pytest.mark.parametrize(
+        ('path', 'headers', 'status'),
+        [
+            ('/job/../private', {}, 400),
+            ('/job/%2e%2e/private', {}, 400),
+            ('/job/1', {'teaselcove-timeout-ms': '-5'}, 400),
+            ('/job/1', {'idempotency-key': 'k' * 300}, 400),
+            ('/job/1', {'x-large': 'x' * 40_000}, 413),
+            ('/nowhere', {}, 404),
+            ('/job/1', {'authorization': 'Basic abc'}, 401),
+        ],
+    )
+    def test_bad_request(
+        self,
+        deployment: Deployment,
+        path: str,
+        headers: dict[str, str],
+        status: int,
+    ) -> None:
+        """Guards against malformed requests that reach a backend server."""
+        found, replied, _ = deployment.call(
+            'host-0', 'village', 'GET', path, headers=headers
+        )
+        assert (found, replied['teaselcove-outcome']) == (status, 'not-run')
+
+    def test_not_http(self, deployment: Deployment) -> None:
+        """Guards against a port scan that stops a host."""
+        address = split_address(deployment.hosts['host-0'].address)
+        with socket.create_connection(address, 5) as scanner:
+            scanner.sendall(b'GARBAGE\r\n\r\n')
+            assert b'400' in scanner.recv(1000)
+        assert self.look_up(deployment) == 200
+
     def test_no_effect_failed(self, deployment: Deployment) -> None:
         """Guards against errors that only the log shows."""
         for entry in deployment.hosts.values():
