--- a/teaselcove/crashes.py
+++ b/teaselcove/crashes.py
@@ -63,9 +63,14 @@
 
 
 class CrashTable:
-    """What one host knows about crashing requests, in bounded memory."""
+    """What one host knows about crashing requests, in bounded memory.
 
-    def __init__(self) -> None:
+    Attributes:
+        max_hurt: Servers that one request may hurt before it is refused.
+    """
+
+    def __init__(self, max_hurt: int = MAX_HURT) -> None:
+        self.max_hurt = max_hurt
         self.suspects: OrderedDict[bytes, Suspect] = OrderedDict()
         self.blocked: OrderedDict[bytes, Instant] = OrderedDict()
 
@@ -86,7 +91,7 @@
         self.suspects[digest] = suspect
         if len(self.suspects) > MAX_KNOWN:
             self.suspects.popitem(last=False)
-        return len(suspect.hurt) >= MAX_HURT and not suspect.innocent
+        return len(suspect.hurt) >= self.max_hurt and not suspect.innocent
 
     def is_old(self, suspect: Suspect, now: Instant) -> bool:
         """Returns whether all crashes of a suspect are long ago."""
--- a/teaselcove/daemon.py
+++ b/teaselcove/daemon.py
@@ -21,7 +21,7 @@
 from teaselcove.driver import Driver
 from teaselcove.frontend import Frontend
 from teaselcove.ids import OrganisationId
-from teaselcove.platform import PlatformPort
+from teaselcove.platform.port import PlatformPort
 from teaselcove.readout import Readout
 from teaselcove.server import application
 from teaselcove.settings import HostSettings
--- a/teaselcove/errors.py
+++ b/teaselcove/errors.py
@@ -133,3 +133,11 @@
 
 class AppendUnknownError(TeaselcoveError):
     """The reply to an append was lost; the record may be in the log."""
+
+
+class HistoryLostError(TeaselcoveError):
+    """The store no longer keeps the records that were asked for."""
+
+
+class SettingsError(TeaselcoveError):
+    """The settings of a process cannot be used."""
--- a/teaselcove/events.py
+++ b/teaselcove/events.py
@@ -25,7 +25,8 @@
     COMPLETE is a whole answer of any status. NOT_SENT means that no byte was
     written. SHED is the server's own statement that the call did not start.
     BROKEN is a reset or a truncated answer. MISMATCHED is an answer to another
-    request.
+    request. MISDIRECTED is the statement of another server, which has taken
+    over the address, that it did not start the call.
     """
 
     COMPLETE = 'complete'
@@ -34,6 +35,7 @@
     BROKEN = 'broken'
     TIMED_OUT = 'timed-out'
     MISMATCHED = 'mismatched'
+    MISDIRECTED = 'misdirected'
     CANCELLED = 'cancelled'
 
 
--- /dev/null
+++ b/teaselcove/ingress/acceptance.py
@@ -0,0 +1,119 @@
+"""Checks route, key and rate of a request before it may run."""
+
+import hashlib
+from typing import Any
+
+import msgspec
+
+from teaselcove.crashes import CrashTable
+from teaselcove.errors import Reason, Refusal, not_run
+from teaselcove.ids import Instant
+from teaselcove.ingress.calls import Call
+from teaselcove.ingress.entities import IngressRoute
+from teaselcove.ingress.kernel import ingress_services
+from teaselcove.kernel import Kernel
+from teaselcove.proxy import CallerRequest
+
+DIGEST_BYTES = 12
+# Servers that a request may crash before it is refused. Resets by servers
+# that fail for other reasons hit one request so often only by rare chance.
+CRASH_LIMIT = 3
+# Seconds until a host without a configuration or a fresh one has it, if the
+# store answers.
+RETRY_AFTER_S = 0.5
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A request as it was read from a caller.
+
+    Attributes:
+        path: Path without the query.
+        key: The caller's key, or None.
+        time_left: Seconds that the caller waits, or None if it did not say.
+    """
+
+    request: CallerRequest
+    host: str
+    path: str
+    key: str | None
+    attempt_id: str
+    time_left: float | None
+
+
+def digest_of(arrival: Arrival) -> bytes:
+    """Returns the digest that tells requests with equal content."""
+    request = arrival.request
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    head = (arrival.host, request.method, request.target, arrival.key or '')
+    digest.update('\n'.join(head).encode())
+    digest.update(request.body)
+    return digest.digest()
+
+
+@ingress_services.register('acceptance')
+class Acceptance:
+    """Decides whether and for whom a request may run."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.crashes = CrashTable(CRASH_LIMIT)
+
+    def needs_confirmation(self, arrival: Arrival, now: Instant) -> bool:
+        """Returns whether the store must vouch for the keys first."""
+        catalog = self.kernel.service('catalog')
+        route = catalog.route_for(arrival.host, arrival.path)
+        if route is None:
+            # The route may have been added since the last read.
+            return not catalog.may_trust_keys(now)
+        return not (route.open or catalog.may_trust_keys(now))
+
+    def accept(self, arrival: Arrival, now: Instant) -> Call | Refusal:
+        """Returns the state of a request that may run, or its refusal."""
+        catalog = self.kernel.service('catalog')
+        if not catalog.version:
+            return not_run(Reason.NO_CONFIGURATION, RETRY_AFTER_S)
+        route = catalog.route_for(arrival.host, arrival.path)
+        if route is None:
+            return not_run(Reason.NO_ROUTE)
+        if not route.open:
+            problem = catalog.key_problem(arrival.key, now)
+            if problem is Reason.BAD_KEY:
+                return not_run(problem)
+            if problem is not None:
+                return not_run(problem, RETRY_AFTER_S)
+        digest = digest_of(arrival)
+        if self.crashes.is_blocked(digest, now):
+            return not_run(Reason.CRASHING_REQUEST)
+        organisation = None
+        if arrival.key is not None:
+            organisation = catalog.organisation_of(arrival.key)
+        if organisation is not None:
+            wait = self.kernel.service('quotas').take(organisation, now)
+            if wait is not None:
+                return not_run(Reason.RATE, wait)
+        return self.call(arrival, route, organisation, digest, now)
+
+    def call(
+        self,
+        arrival: Arrival,
+        route: IngressRoute,
+        organisation: Any,
+        digest: bytes,
+        now: Instant,
+    ) -> Call:
+        """Returns the state of a request that may run."""
+        timeout = route.timeout
+        if arrival.time_left is not None:
+            timeout = min(timeout, arrival.time_left)
+        service = self.kernel.service('catalog').choose_service(route)
+        self.kernel.service('retry-window').note_request(service, now)
+        return Call(
+            arrival.attempt_id,
+            arrival.request,
+            route,
+            service,
+            organisation,
+            now,
+            Instant(now + timeout),
+            digest,
+        )
--- /dev/null
+++ b/teaselcove/ingress/balance.py
@@ -0,0 +1,170 @@
+"""Choice of the backend server for an attempt."""
+
+import msgspec
+
+from teaselcove.ids import BackendServerId, Instant, ServiceId
+from teaselcove.ingress.discovery import KnownServer
+from teaselcove.ingress.health import FIRST_LATENCY_S, Condition
+from teaselcove.ingress.kernel import ingress_services
+from teaselcove.kernel import Kernel
+
+# Cost of a server in another availability zone relative to one nearby. Small,
+# since a slot that is free matters more than a millisecond.
+OTHER_ZONE_COST = 1.2
+# A server that has just started works about this many times slower.
+COLD_COST = 2
+# One request more than slots may wait at a server: it starts at once when a
+# slot becomes free.
+WAITING_AT_SERVER = 1
+
+
+class Pick(msgspec.Struct, frozen=True):
+    """The chosen server and why.
+
+    Attributes:
+        trial: Whether it is tried although it is not known to be well.
+    """
+
+    known: KnownServer
+    trial: bool
+    condition: Condition
+    in_flight: int
+
+
+@ingress_services.register('balance')
+class Balance:
+    """Keeps the attempts in flight and picks servers.
+
+    Attributes:
+        in_flight: Attempts of this host.
+        elsewhere: Attempts of other hosts, as far as they have told.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.in_flight: dict[BackendServerId, int] = {}
+        self.elsewhere: dict[BackendServerId, int] = {}
+
+    def started(self, server: BackendServerId) -> None:
+        """Notes an attempt."""
+        self.in_flight[server] = self.in_flight.get(server, 0) + 1
+
+    def finished(self, server: BackendServerId) -> None:
+        """Notes the end of an attempt."""
+        left = self.in_flight.get(server, 1) - 1
+        if left:
+            self.in_flight[server] = left
+        else:
+            self.in_flight.pop(server, None)
+
+    def load(self, server: BackendServerId) -> int:
+        """Returns the attempts in flight at a server, as far as known."""
+        return self.in_flight.get(server, 0) + self.elsewhere.get(server, 0)
+
+    def has_room(self, known: KnownServer) -> bool:
+        """Returns whether a server may take one more attempt."""
+        limit = known.server.slots + WAITING_AT_SERVER
+        return self.load(known.server.id) < limit
+
+    def cost(self, known: KnownServer, now: Instant) -> float:
+        """Returns the expected wait at a server, in relative terms."""
+        record = self.kernel.service('health').record(known.server.id)
+        latency = record.latency or FIRST_LATENCY_S
+        load = (self.load(known.server.id) + 1) / known.server.slots
+        cost = latency * (1 + load)
+        if known.server.zone != self.kernel.settings.zone:
+            cost *= OTHER_ZONE_COST
+        if now < known.warm_at:
+            cost *= COLD_COST
+        return cost
+
+    def pick(
+        self,
+        service: ServiceId,
+        idempotent: bool,
+        exclude: frozenset[BackendServerId],
+        now: Instant,
+    ) -> Pick | None:
+        """Returns the server for an attempt, or None if all are full.
+
+        Args:
+            service: The service.
+            idempotent: Whether the request may be repeated, and so may try a
+                server that is not known to be well.
+            exclude: Servers that have failed the request.
+            now: Present time.
+        """
+        health = self.kernel.service('health')
+        discovery = self.kernel.service('discovery')
+        usable = [
+            known
+            for known in discovery.usable(service, now)
+            if known.server.id not in exclude
+        ]
+        open_servers = [
+            known
+            for known in usable
+            if self.has_room(known)
+            and not health.is_closed(known.server.id, now)
+        ]
+        if idempotent and not exclude:
+            due = self.due(open_servers, now)
+            if due is not None:
+                return self.picked(due, trial=True)
+        return self.best(usable, open_servers, now)
+
+    def due(
+        self, open_servers: list[KnownServer], now: Instant
+    ) -> KnownServer | None:
+        """Returns a server that is not well and should be tried now."""
+        health = self.kernel.service('health')
+        due = [
+            known
+            for known in open_servers
+            if health.condition(known.server.id) is not Condition.WELL
+            and health.may_try(known.server.id, now)
+        ]
+        return self.kernel.random.choice(due) if due else None
+
+    def best(
+        self,
+        usable: list[KnownServer],
+        open_servers: list[KnownServer],
+        now: Instant,
+    ) -> Pick | None:
+        """Returns the cheapest server of the best condition with room.
+
+        A server that is out is chosen only if all are out: while another one
+        lives, a request waits for its slot.
+        """
+        for condition in Condition:
+            wanted = [
+                known
+                for known in open_servers
+                if self.effective(known, now) is condition
+            ]
+            others_live = condition is Condition.OUT and any(
+                self.effective(known, now) is not Condition.OUT
+                for known in usable
+            )
+            if wanted and not others_live:
+                chosen = min(wanted, key=lambda item: self.rank(item, now))
+                return self.picked(chosen, trial=False)
+        return None
+
+    def effective(self, known: KnownServer, now: Instant) -> Condition:
+        """Returns the condition that counts for a request that runs once."""
+        health = self.kernel.service('health')
+        if health.is_forgiven(known.server.id, now):
+            return Condition.WELL
+        return health.condition(known.server.id)
+
+    def rank(self, known: KnownServer, now: Instant) -> tuple[float, float]:
+        """Returns the order among servers; equals in random order."""
+        return self.cost(known, now), self.kernel.random.random()
+
+    def picked(self, known: KnownServer, trial: bool) -> Pick:
+        """Returns the choice with what it was based on."""
+        name = known.server.id
+        condition = self.kernel.service('health').condition(name)
+        return Pick(known, trial, condition, self.load(name))
--- /dev/null
+++ b/teaselcove/ingress/calls.py
@@ -0,0 +1,129 @@
+"""State of a caller's request and the decisions about its attempts."""
+
+from enum import Enum
+
+import msgspec
+
+from teaselcove.errors import Outcome, Reason, Refusal, not_run
+from teaselcove.events import AttemptResult
+from teaselcove.ids import BackendServerId, Instant, ServiceId
+from teaselcove.ingress.entities import IngressOrganisation, IngressRoute
+from teaselcove.proxy import CallerRequest
+
+SERVER_ERROR_STATUS = 500
+# Results after which the request has not run and never will.
+NOT_RUN = frozenset(
+    (AttemptResult.NOT_SENT, AttemptResult.SHED, AttemptResult.MISDIRECTED)
+)
+# Attempts that did not run, after which a request is refused: by then the
+# host's view of the servers is wrong for all of them.
+MAX_NOT_RUN = 4
+# Time in seconds that an attempt needs at the least to be worth sending.
+MIN_ATTEMPT_S = 0.03
+RETRY_AFTER_S = 0.3
+
+
+class RefusedError(Exception):
+    """The request ends with a refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        self.refusal = refusal
+        super().__init__(refusal.reason.value)
+
+
+class Next(Enum):
+    """What follows an attempt."""
+
+    ANSWER = 'answer'
+    RETRY = 'retry'
+    REFUSE = 'refuse'
+
+
+class Call(msgspec.Struct, eq=False):
+    """A caller's request in progress.
+
+    Attributes:
+        attempt_id: The id that the caller gave this request.
+        deadline: When the caller or the route stops waiting.
+        digest: Digest of caller, method, path and body.
+        sent: Servers that may have run it.
+        not_run: Attempts that provably did not run.
+        exclude: Servers that have failed it.
+        retries: Second attempts, of any result.
+    """
+
+    attempt_id: str
+    request: CallerRequest
+    route: IngressRoute
+    service: ServiceId
+    organisation: IngressOrganisation | None
+    arrived_at: Instant
+    deadline: Instant
+    digest: bytes
+    sent: list[BackendServerId] = []
+    not_run: int = 0
+    exclude: frozenset[BackendServerId] = frozenset()
+    retries: int = 0
+    waited: float = 0
+
+    @property
+    def priority(self) -> int:
+        """Its rank; that of the organisation replaces the route's."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
+    def time_left(self, now: Instant) -> float:
+        """Returns the seconds until the deadline."""
+        return self.deadline - now
+
+
+def is_failure(result: AttemptResult, status: int | None) -> bool:
+    """Returns whether an attempt gave no useful answer."""
+    if result is not AttemptResult.COMPLETE:
+        return True
+    return (status or 0) >= SERVER_ERROR_STATUS
+
+
+def next_step(
+    call: Call,
+    result: AttemptResult,
+    status: int | None,
+    has_budget: bool,
+    now: Instant,
+) -> Next:
+    """Decides what follows an attempt.
+
+    Args:
+        call: The request; the attempt is already noted in it.
+        result: How the attempt ended.
+        status: Status of its answer, or None.
+        has_budget: Whether the fleet may make a second attempt.
+        now: Present time.
+    """
+    if not is_failure(result, status):
+        return Next.ANSWER
+    answered = result is AttemptResult.COMPLETE
+    if call.time_left(now) < MIN_ATTEMPT_S:
+        return Next.ANSWER if answered else Next.REFUSE
+    if result is AttemptResult.NOT_SENT:
+        # Nothing reached a server, so no budget is spent.
+        return Next.RETRY if call.not_run < MAX_NOT_RUN else Next.REFUSE
+    if result in NOT_RUN:
+        again = call.not_run < MAX_NOT_RUN and has_budget
+        return Next.RETRY if again else Next.REFUSE
+    may_repeat = call.route.idempotent and has_budget
+    if may_repeat and len(call.sent) < call.route.max_attempts:
+        return Next.RETRY
+    return Next.ANSWER if answered else Next.REFUSE
+
+
+def final_refusal(call: Call, now: Instant) -> Refusal:
+    """Returns the refusal after the last attempt."""
+    late = call.time_left(now) < MIN_ATTEMPT_S
+    if call.sent:
+        reason = Reason.DEADLINE if late else Reason.ANSWER_LOST
+        return Refusal(Outcome.UNKNOWN, reason)
+    reason = Reason.DEADLINE if late else Reason.NO_SERVER
+    return not_run(reason, RETRY_AFTER_S)
--- /dev/null
+++ b/teaselcove/ingress/freshness.py
@@ -0,0 +1,262 @@
+"""Reads the store for a host and keeps its beliefs fresh.
+
+Every host waits for new configurations with long polls, which cost few
+calls. Only a host that serves requests also confirms at short intervals that
+its configuration is the newest, and reads the backend servers.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from teaselcove.errors import (
+    CodecError,
+    HistoryLostError,
+    StoreUnavailableError,
+)
+from teaselcove.ids import BackendServerId, Instant
+from teaselcove.ingress.clock import boot_time
+from teaselcove.ingress.entities import KeyedRecord, RecordPage
+from teaselcove.kernel import Kernel
+from teaselcove.platform import records
+from teaselcove.platform.store import StoreClient
+
+log = logging.getLogger('teaselcove.store')
+
+# Seconds that a long poll waits. Keep-alive probes find silent connections
+# sooner.
+POLL_WAIT_S = 15
+# A host that serves requests confirms its configuration at this age in
+# seconds; withdrawn keys must stop within 5 s.
+CONFIRM_AGE_S = 2.5
+# Seconds that a request waits for the store to confirm.
+CONFIRM_WAIT_S = 0.6
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 0.5
+# A host that served no request for this long stops to read the servers.
+IDLE_S = 4
+# Failures in a row after which the store counts as away.
+AWAY_FAILURES = 2
+
+
+class Follower:
+    """Reads one keyed topic from the newest records on.
+
+    Attributes:
+        offset: Offset to read from, or None before the first read.
+    """
+
+    def __init__(self, store: StoreClient, topic: str) -> None:
+        self.store = store
+        self.topic = topic
+        self.offset: int | None = None
+
+    async def read(self, wait: float = 0) -> tuple[RecordPage, bool]:
+        """Returns new records, and whether they are all newest ones.
+
+        Raises:
+            StoreUnavailableError: If the store gave no answer.
+            CodecError: If its answer is not in the format.
+        """
+        asked_at = boot_time()
+        if self.offset is not None:
+            try:
+                page = await self.store.read(
+                    self.topic, self.offset, asked_at, wait
+                )
+            except HistoryLostError as error:
+                log.info('history-lost', extra={'figures': {'why': str(error)}})
+                self.offset = None
+            else:
+                self.offset = max(self.offset, page.next_offset)
+                return page, False
+        page = await self.store.newest(self.topic, asked_at)
+        self.offset = page.next_offset
+        return page, True
+
+
+class Freshness:
+    """Keeps configuration and servers of a host as fresh as it needs.
+
+    Attributes:
+        served_at: When the host last served a request.
+        failures: Reads in a row that failed.
+    """
+
+    def __init__(self, kernel: Kernel, store: StoreClient) -> None:
+        self.kernel = kernel
+        self.store = store
+        self.followers = {
+            topic: Follower(store, topic)
+            for topic in (records.CONFIGURATION_TOPIC, records.SERVERS_TOPIC)
+        }
+        self.served_at = Instant(float('-inf'))
+        self.failures = 0
+        self.confirming: asyncio.Task[None] | None = None
+        self.reading_servers: asyncio.Task[None] | None = None
+
+    def is_serving(self, now: Instant) -> bool:
+        """Returns whether the host served a request lately."""
+        return now - self.served_at < IDLE_S
+
+    def answered(self, now: Instant) -> None:
+        """Notes an answer of the store."""
+        if self.failures >= AWAY_FAILURES:
+            log.warning(
+                'store-regained', extra={'figures': {'failed': self.failures}}
+            )
+            self.kernel.service('discovery').store_recovered(now)
+        self.failures = 0
+        self.kernel.service('members').store_heard(now)
+
+    def failed(self, topic: str, error: Exception) -> None:
+        """Notes a read without an answer."""
+        self.failures += 1
+        if self.failures == AWAY_FAILURES:
+            log.warning(
+                'store-lost',
+                extra={'figures': {'topic': topic, 'why': str(error)}},
+            )
+
+    async def follow_configuration(self) -> None:
+        """Reads configurations until cancelled."""
+        topic = records.CONFIGURATION_TOPIC
+        pause = FIRST_PAUSE_S
+        while True:
+            first = self.followers[topic].offset is None
+            if await self.read_configuration(0 if first else POLL_WAIT_S):
+                pause = FIRST_PAUSE_S
+            else:
+                await asyncio.sleep(pause)
+                pause = min(MAX_PAUSE_S, 2 * pause)
+
+    async def read_configuration(self, wait: float = 0) -> bool:
+        """Reads new configurations; returns whether the store answered."""
+        topic = records.CONFIGURATION_TOPIC
+        try:
+            page, _ = await self.followers[topic].read(wait)
+        except (StoreUnavailableError, CodecError) as error:
+            self.failed(topic, error)
+            return False
+        self.answered(boot_time())
+        for item in page.records:
+            self.take_configuration(item)
+        # The store accepts valid configurations only, so a record that
+        # cannot be read withdraws no key.
+        self.kernel.service('catalog').confirm(page.asked_at)
+        return True
+
+    def take_configuration(self, record: KeyedRecord) -> None:
+        """Puts a configuration in force."""
+        if record.key != records.CONFIGURATION_KEY or record.value is None:
+            return
+        try:
+            configuration = records.decode_configuration(record.value)
+        except CodecError as error:
+            log.error(
+                'configuration-unreadable',
+                extra={'figures': {'offset': record.offset, 'why': str(error)}},
+            )
+            return
+        catalog = self.kernel.service('catalog')
+        before = catalog.version
+        if catalog.adopt(configuration):
+            log.info(
+                'configuration',
+                extra={
+                    'figures': {
+                        'version': configuration.version,
+                        'before': before,
+                        'offset': record.offset,
+                    }
+                },
+            )
+
+    async def confirm(self) -> None:
+        """Lets the store confirm the configuration, within a short time."""
+        if self.confirming is None or self.confirming.done():
+            self.confirming = self.spawn(self.read_configuration)
+        await asyncio.wait([self.confirming], timeout=CONFIRM_WAIT_S)
+
+    def spawn(
+        self, read: Callable[[], Awaitable[bool]]
+    ) -> asyncio.Task[None]:
+        """Runs a read in the background."""
+
+        async def work() -> None:  # noqa: WPS430
+            await read()
+
+        return asyncio.get_running_loop().create_task(work())
+
+    async def ensure_servers(self) -> None:
+        """Reads the servers first if what is known is too old."""
+        now = boot_time()
+        self.served_at = now
+        discovery = self.kernel.service('discovery')
+        if discovery.age(now) < self.kernel.settings.bounds.drain - 0.2:
+            return
+        if self.failures >= AWAY_FAILURES and discovery.read_at is not None:
+            return
+        if self.reading_servers is None or self.reading_servers.done():
+            self.reading_servers = self.spawn(self.read_servers)
+        await asyncio.wait([self.reading_servers], timeout=CONFIRM_WAIT_S)
+
+    async def keep_fresh(self) -> None:
+        """Confirms and reads at intervals while the host serves."""
+        interval = self.kernel.settings.ingress.server_read_interval
+        while True:
+            now = boot_time()
+            if self.is_serving(now):
+                await self.read_servers()
+                if self.kernel.service('catalog').age(now) > CONFIRM_AGE_S:
+                    await self.confirm()
+            await asyncio.sleep(interval)
+
+    async def read_servers(self) -> bool:
+        """Reads new server entries; returns whether the store answered."""
+        topic = records.SERVERS_TOPIC
+        try:
+            page, complete = await self.followers[topic].read()
+        except (StoreUnavailableError, CodecError) as error:
+            self.failed(topic, error)
+            return False
+        now = boot_time()
+        self.answered(now)
+        discovery = self.kernel.service('discovery')
+        for record in page.records:
+            self.take_server(record, now)
+        if complete:
+            listed = {BackendServerId(item.key) for item in page.records}
+            discovery.retain(listed, page.next_offset)
+        discovery.read_at = page.asked_at
+        return True
+
+    def take_server(self, record: KeyedRecord, now: Instant) -> None:
+        """Takes over an entry of a server."""
+        discovery = self.kernel.service('discovery')
+        name = BackendServerId(record.key)
+        if record.value is None:
+            if discovery.drop(name, record.offset, now):
+                log.info('server-gone', extra={'figures': {'server': name}})
+            return
+        try:
+            entry = records.decode_server(record.key, record.value)
+        except CodecError as error:
+            log.warning(
+                'server-unreadable',
+                extra={'figures': {'server': name, 'why': str(error)}},
+            )
+            discovery.drop(name, record.offset, now)
+            return
+        if discovery.note(entry, record.offset, now):
+            log.info(
+                'server',
+                extra={
+                    'figures': {
+                        'server': name,
+                        'service': entry.service,
+                        'leaving': entry.leaving,
+                        'offset': record.offset,
+                    }
+                },
+            )
--- /dev/null
+++ b/teaselcove/ingress/health.py
@@ -0,0 +1,211 @@
+"""Health of backend servers, judged by what real work shows.
+
+Load: servers that fail most of their requests for seconds while their health
+check is good. A server is suspect after one failure and out after two in a
+row. Requests that may run once go to servers that are well; requests that may
+be repeated try the others again, since a failure there costs a retry only.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from teaselcove.events import AttemptResult
+from teaselcove.ids import BackendServerId, Instant, ServiceId
+from teaselcove.ingress.kernel import ingress_services
+from teaselcove.kernel import Kernel
+
+SERVER_ERROR_STATUS = 500
+# Failures in a row after which a server is out.
+OUT_FAILURES = 2
+# Successes in a row that bring a server back from out. At a failure rate of
+# three in four, one success would readmit it wrongly in a quarter of trials.
+RETURN_SUCCESSES = 2
+# Pause before a suspect server is tried again; it doubles with each failure
+# in a row up to the maximum, which is below the usual length of a fault.
+TRIAL_PAUSE_S = 0.25
+MAX_TRIAL_PAUSE_S = 1
+# A server that nobody has tried for this long is tried by any request.
+FORGIVE_S = 4
+# Weight of a new latency in the moving average.
+LATENCY_GAIN = 0.2
+# Assumed service time in seconds while none has been measured.
+FIRST_LATENCY_S = 0.2
+# A refused or silent connection keeps a server out for this long; it doubles
+# with each in a row up to the maximum trial pause.
+CONNECT_PAUSE_S = 0.5
+# A server that had no slot for a request has one after about a short call.
+SHED_PAUSE_S = 0.1
+
+
+class Condition(Enum):
+    """What a host believes of a server."""
+
+    WELL = 'well'
+    SUSPECT = 'suspect'
+    OUT = 'out'
+
+
+class Record(msgspec.Struct):
+    """What is known of a server.
+
+    Attributes:
+        failures: Failures in a row.
+        successes: Successes in a row since the last failure.
+        path_failures: Failures in a row to reach it from this host.
+        closed_until: When it may get a request again after it refused one.
+        trial_at: When a request may try it again while it is not well.
+        latency: Moving average of the service time in seconds, or None.
+    """
+
+    failures: int = 0
+    successes: int = 0
+    path_failures: int = 0
+    last_failure: Instant = Instant(0)
+    closed_until: Instant = Instant(0)
+    trial_at: Instant = Instant(0)
+    latency: float | None = None
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """How an attempt at a server ended, as hosts tell each other.
+
+    Attributes:
+        well: Whether the server completed it.
+    """
+
+    server: BackendServerId
+    well: bool
+
+
+@ingress_services.register('health')
+class Health:
+    """Keeps a record of each server and decides who may be tried.
+
+    Attributes:
+        news: Evidence that the other hosts have not been told.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.records: dict[BackendServerId, Record] = {}
+        self.news: list[Evidence] = []
+
+    def record(self, server: BackendServerId) -> Record:
+        """Returns the record of a server."""
+        return self.records.setdefault(server, Record())
+
+    def forget(self, server: BackendServerId) -> None:
+        """Forgets a server that is gone or has started anew."""
+        self.records.pop(server, None)
+
+    def condition(self, server: BackendServerId) -> Condition:
+        """Returns what is believed of a server."""
+        record = self.records.get(server)
+        if record is None:
+            return Condition.WELL
+        if record.failures >= OUT_FAILURES:
+            return Condition.OUT
+        if record.failures or record.path_failures:
+            return Condition.SUSPECT
+        return Condition.WELL
+
+    def is_closed(self, server: BackendServerId, now: Instant) -> bool:
+        """Returns whether a server would refuse a request now."""
+        record = self.records.get(server)
+        return record is not None and now < record.closed_until
+
+    def may_try(self, server: BackendServerId, now: Instant) -> bool:
+        """Returns whether a repeatable request should try the server."""
+        record = self.records.get(server)
+        return record is not None and now >= record.trial_at
+
+    def is_forgiven(self, server: BackendServerId, now: Instant) -> bool:
+        """Returns whether the last failure is long ago."""
+        record = self.records.get(server)
+        return record is None or now - record.last_failure > FORGIVE_S
+
+    def started(self, server: BackendServerId, now: Instant) -> None:
+        """Lets no second request try a server that is not well at once."""
+        record = self.records.get(server)
+        if record is not None and (record.failures or record.path_failures):
+            record.trial_at = Instant(now + self.pause(record))
+
+    def pause(self, record: Record) -> float:
+        """Returns the seconds between trials of a server."""
+        count = max(record.failures, record.path_failures)
+        return min(MAX_TRIAL_PAUSE_S, TRIAL_PAUSE_S * 2 ** max(0, count - 1))
+
+    def finished(
+        self,
+        server: BackendServerId,
+        result: AttemptResult,
+        status: int | None,
+        elapsed: float,
+        now: Instant,
+    ) -> None:
+        """Notes how an attempt ended.
+
+        A failure that the server itself reports counts for all hosts. One of
+        the path counts for this host, since others may reach the server.
+        """
+        record = self.record(server)
+        if result is AttemptResult.COMPLETE:
+            well = (status or 0) < SERVER_ERROR_STATUS
+            self.note(Evidence(server, well), now)
+            self.news.append(Evidence(server, well))
+            record.path_failures = 0
+            if well:
+                self.note_latency(record, elapsed)
+        elif result is AttemptResult.SHED:
+            record.closed_until = Instant(now + SHED_PAUSE_S)
+        elif result is AttemptResult.NOT_SENT:
+            self.note_path_failure(record, now)
+            pause = CONNECT_PAUSE_S * record.path_failures
+            record.closed_until = Instant(now + pause)
+        elif result is not AttemptResult.CANCELLED:
+            self.note_path_failure(record, now)
+
+    def note_latency(self, record: Record, elapsed: float) -> None:
+        """Updates the moving average of the service time."""
+        if record.latency is None:
+            record.latency = elapsed
+        record.latency += LATENCY_GAIN * (elapsed - record.latency)
+
+    def note_path_failure(self, record: Record, now: Instant) -> None:
+        """Notes that a server could not be reached or broke off."""
+        record.path_failures += 1
+        record.last_failure = now
+        record.trial_at = Instant(now + self.pause(record))
+
+    def note(self, evidence: Evidence, now: Instant) -> None:
+        """Notes an answer of a server to this host or another one."""
+        record = self.record(evidence.server)
+        if evidence.well:
+            record.successes += 1
+            needed = RETURN_SUCCESSES if record.failures > 1 else 1
+            if record.successes >= needed:
+                record.failures = 0
+            return
+        record.successes = 0
+        record.failures += 1
+        record.last_failure = now
+        record.trial_at = Instant(now + self.pause(record))
+
+    def usual_latency(self, service: ServiceId) -> float:
+        """Returns the median service time of a service in seconds."""
+        known = self.kernel.service('discovery').by_service.get(service, ())
+        latencies = sorted(
+            record.latency
+            for record in (self.record(item.server.id) for item in known)
+            if record.latency is not None
+        )
+        if not latencies:
+            return FIRST_LATENCY_S
+        return latencies[len(latencies) // 2]
+
+    def take_news(self) -> list[Evidence]:
+        """Returns the evidence for the other hosts and forgets it."""
+        news = self.news
+        self.news = []
+        return news
--- /dev/null
+++ b/teaselcove/ingress/members.py
@@ -0,0 +1,196 @@
+"""The hosts of the fleet and which of them callers are told to use.
+
+Load: backend servers that fail for seconds. A host that sees few requests
+learns of them late, so few hosts in each availability zone take all of its
+requests. Hosts that have run longest come first: a host that starts again
+does not draw callers away from those that know the servers.
+"""
+
+import hashlib
+
+import msgspec
+
+from teaselcove.ids import HostId, Instant, ZoneName
+from teaselcove.ingress.entities import HostRecord
+from teaselcove.ingress.kernel import ingress_services
+from teaselcove.kernel import Kernel
+
+HEARTBEAT_INTERVAL_S = 0.5
+# Three heartbeats lost in a row; a shorter time would take a lost packet,
+# which is sent again after 0.2 s and more, for a dead host.
+SILENCE_S = 1.6
+# Hosts that start within this time count as equally old.
+AGE_STEP_MS = 5000
+# A host that has just started waits for the heartbeats of the others.
+SETTLE_S = 0.7
+# A gap in the host's own clock after which its beliefs are stale.
+PAUSE_S = 1
+
+
+class Peer(msgspec.Struct):
+    """Another host.
+
+    Attributes:
+        heard_at: When its latest heartbeat arrived, or None.
+        hears: Hosts of its zone that it hears.
+    """
+
+    record: HostRecord
+    heard_at: Instant | None = None
+    leaving: bool = False
+    is_in_use: bool = False
+    hears: frozenset[HostId] = frozenset()
+
+
+@ingress_services.register('members')
+class Members:
+    """Keeps the hosts that are alive.
+
+    Attributes:
+        own: This host's record.
+        started_at: When the process started.
+        resumed_at: When the process last ran on after a pause.
+        store_heard_at: When the store last answered.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.peers: dict[HostId, Peer] = {}
+        self.own: HostRecord | None = None
+        self.started_at = Instant(0)
+        self.resumed_at = Instant(0)
+        self.ticked_at: Instant | None = None
+        self.store_heard_at: Instant | None = None
+        self.leaving = False
+
+    def start(self, own: HostRecord, now: Instant) -> None:
+        """Notes this host's own record."""
+        self.own = own
+        self.started_at = now
+
+    def tick(self, now: Instant) -> bool:
+        """Notes that the process runs; returns whether it had paused."""
+        before = self.ticked_at
+        self.ticked_at = now
+        paused = before is not None and now - before > PAUSE_S
+        if paused:
+            self.resumed_at = now
+        return paused
+
+    def store_heard(self, now: Instant) -> None:
+        """Notes an answer of the store."""
+        self.store_heard_at = now
+
+    def note_record(self, record: HostRecord) -> bool:
+        """Notes a host's record; returns whether it is new."""
+        if self.own is not None and record.host == self.own.host:
+            return False
+        peer = self.peers.get(record.host)
+        if peer is not None and peer.record.started_ms >= record.started_ms:
+            return False
+        self.peers[record.host] = Peer(record)
+        return True
+
+    def heard(
+        self,
+        record: HostRecord,
+        leaving: bool,
+        in_use: bool,
+        hears: frozenset[HostId],
+        now: Instant,
+    ) -> bool:
+        """Notes a heartbeat; returns whether its sender was not heard."""
+        self.note_record(record)
+        peer = self.peers.get(record.host)
+        if peer is None or peer.record.started_ms > record.started_ms:
+            return False
+        was_silent = not self.is_live(peer, now)
+        peer.heard_at = now
+        peer.leaving = leaving
+        peer.is_in_use = in_use
+        peer.hears = hears
+        return was_silent
+
+    def is_live(self, peer: Peer, now: Instant) -> bool:
+        """Returns whether a host is heard."""
+        return peer.heard_at is not None and now - peer.heard_at < SILENCE_S
+
+    def live(self, zone: ZoneName, now: Instant) -> list[Peer]:
+        """Returns the hosts of a zone that are heard and stay."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.record.zone == zone
+            and self.is_live(peer, now)
+            and not peer.leaving
+        ]
+
+    def heard_hosts(self, now: Instant) -> list[HostId]:
+        """Returns the hosts of the own zone that are heard."""
+        zone = self.kernel.settings.zone
+        return [peer.record.host for peer in self.live(zone, now)]
+
+    def count(self, now: Instant) -> int:
+        """Returns how many hosts the fleet has, as far as is known."""
+        return len(self.peers) + 1
+
+    def places(self, now: Instant) -> int:
+        """Returns the places in the lists of hosts in use of all zones."""
+        zones = len(self.kernel.settings.zones)
+        return zones * self.kernel.settings.ingress.hosts_in_use
+
+    def in_use(self, now: Instant) -> list[HostRecord]:
+        """Returns the hosts that callers of the own zone should use."""
+        records = [peer.record for peer in self.live(self.zone, now)]
+        if self.own is not None and self.is_fit(now):
+            records.append(self.own)
+        records.sort(key=rank)
+        return records[: self.kernel.settings.ingress.hosts_in_use]
+
+    @property
+    def zone(self) -> ZoneName:
+        """The availability zone of this host."""
+        return self.kernel.settings.zone
+
+    def is_fit(self, now: Instant) -> bool:
+        """Returns whether this host may be in use.
+
+        A host that the others of its zone do not hear is left out by them,
+        and must not count itself in.
+        """
+        if self.leaving or now - self.resumed_at < SILENCE_S:
+            return False
+        listeners = self.live(self.zone, now)
+        if not listeners:
+            return self.hears_store(now) or not self.peers
+        host = self.kernel.settings.host
+        hearing = sum(host in peer.hears for peer in listeners)
+        settling = now - self.started_at < SETTLE_S + SILENCE_S
+        return settling or 2 * hearing >= len(listeners)
+
+    def hears_store(self, now: Instant) -> bool:
+        """Returns whether the store answered lately."""
+        heard = self.store_heard_at
+        return heard is not None and now - heard < 2 * SILENCE_S
+
+    def is_in_use(self, now: Instant) -> bool:
+        """Returns whether callers are told to use this host."""
+        return self.own is not None and self.own in self.in_use(now)
+
+    def elsewhere_in_use(self, now: Instant) -> list[HostRecord]:
+        """Returns the other hosts of all zones that say they are in use."""
+        return [
+            peer.record
+            for peer in self.peers.values()
+            if peer.is_in_use and self.is_live_slowly(peer, now)
+        ]
+
+    def is_live_slowly(self, peer: Peer, now: Instant) -> bool:
+        """Returns whether a host was heard within two slow heartbeats."""
+        return peer.heard_at is not None and now - peer.heard_at < 2 * SILENCE_S
+
+
+def rank(record: HostRecord) -> tuple[int, bytes]:
+    """Returns the order of hosts: older ones first, then by hash."""
+    name = hashlib.blake2b(record.host.encode(), digest_size=8).digest()
+    return record.started_ms // AGE_STEP_MS, name
--- /dev/null
+++ b/teaselcove/ingress/quotas.py
@@ -0,0 +1,87 @@
+"""Rates of organisations, split between the hosts in use.
+
+Load: one organisation sends many times its rate, at all hosts. Each place in
+the list of hosts in use holds an equal share of every rate and burst. Other
+hosts, which only callers with an old answer reach, hold a small share out of
+the overage that the bound allows. So the sum never exceeds the bound, also
+while hosts are cut off from each other.
+"""
+
+import msgspec
+
+from teaselcove.ids import Instant, OrganisationId
+from teaselcove.ingress.entities import IngressOrganisation
+from teaselcove.ingress.kernel import ingress_services
+from teaselcove.kernel import Kernel
+from teaselcove.rates import Bucket
+
+# Share of the bound's overage and slack that the hosts in use spend; the
+# rest covers hosts that others do not know to be in use.
+SLACK_SHARE = 0.5
+# Share of a rate that all other hosts hold together.
+RESERVE_SHARE = 0.05
+# Requests for which a bucket has tokens at the start of a process. Without
+# any, the first requests after a restart would be refused.
+FIRST_TOKENS = 2
+MIN_RETRY_AFTER_S = 0.05
+
+
+class Allowance(msgspec.Struct, frozen=True):
+    """What a host may spend of an organisation's rate."""
+
+    rate: float
+    burst: float
+
+
+@ingress_services.register('quotas')
+class Quotas:
+    """Keeps a token bucket for each organisation."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.buckets: dict[OrganisationId, Bucket] = {}
+
+    def allowance(
+        self, organisation: IngressOrganisation, now: Instant
+    ) -> Allowance:
+        """Returns this host's part of an organisation's rate."""
+        members = self.kernel.service('members')
+        bounds = self.kernel.settings.bounds
+        window = bounds.quota_window
+        slack = SLACK_SHARE * bounds.quota_slack
+        if members.is_in_use(now):
+            share = 1 / members.places(now)
+        else:
+            share = RESERVE_SHARE / max(1, members.count(now))
+            slack = 0
+        return Allowance(
+            organisation.rate * share,
+            (organisation.burst + slack) * share
+            if organisation.burst
+            else max(1, organisation.rate * window * share / 2),
+        )
+
+    def take(
+        self, organisation: IngressOrganisation, now: Instant
+    ) -> float | None:
+        """Takes a token.
+
+        Returns:
+            None if there was one, else the seconds until there is one.
+        """
+        if not organisation.rate:
+            return None
+        allowance = self.allowance(organisation, now)
+        bucket = self.buckets.get(organisation.id)
+        if bucket is None:
+            bucket = Bucket(0, 0, now)
+            bucket.level = min(FIRST_TOKENS, allowance.burst)
+            self.buckets[organisation.id] = bucket
+        bucket.refill(now)
+        bucket.rate = allowance.rate
+        bucket.capacity = max(1, allowance.burst)
+        bucket.level = min(bucket.level, bucket.capacity)
+        if bucket.take(now):
+            return None
+        wait = (1 - bucket.level) / max(allowance.rate, 1 / 60)
+        return max(MIN_RETRY_AFTER_S, wait)
--- /dev/null
+++ b/teaselcove/ingress/readout.py
@@ -0,0 +1,42 @@
+"""Counters and latency histograms of a host, as text."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+from teaselcove.ingress.clock import boot_time
+
+US_PER_S = 1_000_000
+# Longer than any route's timeout, in microseconds.
+MAX_LATENCY_US = 60 * US_PER_S
+PERCENTILES = (50, 90, 99)
+
+
+class Readout:
+    """Counts how requests ended and how long they took."""
+
+    def __init__(self) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.latency = HdrHistogram(1, MAX_LATENCY_US, 2)
+
+    def ended(self, outcome: str, arrived_at: float) -> None:
+        """Notes the end of a request."""
+        self.outcomes[outcome] += 1
+        elapsed = max(0, boot_time() - arrived_at)
+        self.latency.record_value(int(elapsed * US_PER_S))
+
+    def text(self, gauges: dict[str, float]) -> str:
+        """Returns the figures in the common exposition format."""
+        lines = ['# TYPE teaselcove_requests_total counter']
+        for outcome, count in sorted(self.outcomes.items()):
+            labels = f'{{outcome="{outcome}"}}'
+            lines.append(f'teaselcove_requests_total{labels} {count}')
+        lines.append('# TYPE teaselcove_request_seconds summary')
+        for percentile in PERCENTILES:
+            value = self.latency.get_value_at_percentile(percentile) / US_PER_S
+            labels = f'{{quantile="{percentile / 100}"}}'
+            lines.append(f'teaselcove_request_seconds{labels} {value}')
+        for name, gauge in sorted(gauges.items()):
+            lines.append(f'# TYPE teaselcove_{name} gauge')
+            lines.append(f'teaselcove_{name} {gauge}')
+        return '\n'.join([*lines, ''])
--- /dev/null
+++ b/teaselcove/ingress/requests.py
@@ -0,0 +1,274 @@
+"""Takes a caller's request from its arrival to its answer."""
+
+import asyncio
+import logging
+from typing import Any
+
+from teaselcove.crashes import BLOCKED_S
+from teaselcove.errors import Refusal
+from teaselcove.events import AttemptResult
+from teaselcove.ids import Instant
+from teaselcove.ingress.acceptance import Acceptance, Arrival
+from teaselcove.ingress.backend import (
+    AttemptEnd,
+    BackendPool,
+    OutgoingRequest,
+    run_attempt,
+)
+from teaselcove.ingress.balance import Pick
+from teaselcove.ingress.calls import (
+    NOT_RUN,
+    Call,
+    Next,
+    RefusedError,
+    final_refusal,
+    is_failure,
+    next_step,
+)
+from teaselcove.ingress.clock import boot_time
+from teaselcove.ingress.connection import RawAnswer
+from teaselcove.ingress.freshness import Freshness
+from teaselcove.ingress.slots import Slots
+from teaselcove.kernel import Kernel
+
+log = logging.getLogger('teaselcove.requests')
+
+# Multiple of the usual service time after which a second attempt at another
+# server of a repeatable request is worthwhile.
+HEDGE_FACTOR = 3
+MIN_HEDGE_S = 0.35
+# Share of the budget that hedges leave for retries.
+HEDGE_SPARE = 0.4
+MS_PER_S = 1000
+
+
+class Attempt:
+    """An attempt that runs, with the slot that it holds."""
+
+    def __init__(self, pick: Pick, task: asyncio.Task[AttemptEnd]) -> None:
+        self.pick = pick
+        self.task = task
+
+
+class Requests:
+    """Serves callers' requests.
+
+    Attributes:
+        running: Requests in progress.
+    """
+
+    def __init__(
+        self, kernel: Kernel, pool: BackendPool, freshness: Freshness
+    ) -> None:
+        self.kernel = kernel
+        self.pool = pool
+        self.freshness = freshness
+        self.slots = Slots(kernel)
+        self.running: set[Call] = set()
+
+    def service(self, name: str) -> Any:
+        """Returns a service of the kernel."""
+        return self.kernel.service(name)
+
+    async def serve(self, arrival: Arrival) -> RawAnswer:
+        """Returns a server's answer.
+
+        Raises:
+            RefusedError: If there is none.
+        """
+        arrived_at = boot_time()
+        acceptance: Acceptance = self.service('acceptance')
+        if acceptance.needs_confirmation(arrival, arrived_at):
+            await self.freshness.confirm()
+        accepted = acceptance.accept(arrival, boot_time())
+        if isinstance(accepted, Refusal):
+            raise RefusedError(accepted)
+        self.running.add(accepted)
+        try:
+            return await self.run(accepted)
+        finally:
+            self.running.discard(accepted)
+
+    async def run(self, call: Call) -> RawAnswer:
+        """Makes attempts until there is an answer.
+
+        Raises:
+            RefusedError: If there is none.
+        """
+        await self.freshness.ensure_servers()
+        while True:
+            pick = await self.place(call)
+            pick, end = await self.attempt(call, pick)
+            now = boot_time()
+            window = self.service('retry-window')
+            has_budget = window.has(call.service, now)
+            step = next_step(call, end.result, end.status, has_budget, now)
+            self.log_attempt(call, pick, end, step, now)
+            if step is Next.ANSWER and end.answer is not None:
+                return end.answer
+            if step is not Next.RETRY:
+                raise RefusedError(final_refusal(call, now))
+            call.retries += 1
+            if end.result is not AttemptResult.NOT_SENT:
+                window.spend(call.service, now)
+
+    async def place(self, call: Call) -> Pick:
+        """Returns a server with room.
+
+        Raises:
+            RefusedError: If there is none in time; it says that the request
+                may have run if an attempt may have.
+        """
+        asked_at = boot_time()
+        try:
+            return await self.slots.acquire(call)
+        except RefusedError as error:
+            if call.sent:
+                unknown = final_refusal(call, boot_time())
+                raise RefusedError(unknown) from error
+            raise
+        finally:
+            call.waited += boot_time() - asked_at
+
+    async def attempt(
+        self, call: Call, pick: Pick
+    ) -> tuple[Pick, AttemptEnd]:
+        """Makes an attempt, and a second one beside it if that is slow."""
+        attempts = [self.start(call, pick)]
+        try:
+            hedge_after = self.hedge_after(call, pick)
+            if hedge_after is not None:
+                await asyncio.wait([attempts[0].task], timeout=hedge_after)
+                if not attempts[0].task.done():
+                    attempts.extend(self.hedge(call))
+            return await self.first_useful(call, attempts)
+        finally:
+            for attempt in attempts:
+                attempt.task.cancel()
+
+    async def first_useful(
+        self, call: Call, attempts: list[Attempt]
+    ) -> tuple[Pick, AttemptEnd]:
+        """Returns the first attempt that succeeded, else the last one."""
+        left = list(attempts)
+        while True:
+            await asyncio.wait(
+                [attempt.task for attempt in left],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for attempt in tuple(left):
+                if not attempt.task.done():
+                    continue
+                left.remove(attempt)
+                end = attempt.task.result()
+                self.note_end(call, attempt.pick, end)
+                if not left or not is_failure(end.result, end.status):
+                    return attempt.pick, end
+
+    def start(self, call: Call, pick: Pick) -> Attempt:
+        """Starts an attempt whose slot is taken."""
+        work = self.send(call, pick)
+        return Attempt(pick, asyncio.get_running_loop().create_task(work))
+
+    async def send(self, call: Call, pick: Pick) -> AttemptEnd:
+        """Sends a request to a server and gives its slot back."""
+        outgoing = OutgoingRequest(
+            call.request,
+            call.attempt_id,
+            call.organisation.id if call.organisation else None,
+            call.route.idempotent,
+        )
+        server = pick.known.server
+        started = boot_time()
+        end = AttemptEnd(AttemptResult.CANCELLED)
+        try:
+            end = await run_attempt(
+                self.pool, server, outgoing, call.time_left(started)
+            )
+        finally:
+            now = boot_time()
+            if not end.stale:
+                self.service('health').finished(
+                    server.id, end.result, end.status, now - started, now
+                )
+            self.slots.release(pick)
+        return end
+
+    def note_end(self, call: Call, pick: Pick, end: AttemptEnd) -> None:
+        """Notes in a request what an attempt means for it."""
+        server = pick.known.server.id
+        if end.result in NOT_RUN:
+            call.not_run += 1
+        else:
+            call.sent.append(server)
+        failed = is_failure(end.result, end.status)
+        if failed and not end.stale:
+            call.exclude = call.exclude | {server}
+        self.note_crash(call, pick, end)
+
+    def note_crash(self, call: Call, pick: Pick, end: AttemptEnd) -> None:
+        """Finds requests that crash the servers that run them."""
+        acceptance: Acceptance = self.service('acceptance')
+        if end.result is AttemptResult.COMPLETE:
+            acceptance.crashes.clear(call.digest)
+            return
+        if end.result is not AttemptResult.BROKEN or end.stale:
+            return
+        now = boot_time()
+        server = pick.known.server.id
+        if acceptance.crashes.note_crash(call.digest, server, now):
+            until = Instant(now + BLOCKED_S)
+            acceptance.crashes.block(call.digest, until)
+
+    def hedge_after(self, call: Call, pick: Pick) -> float | None:
+        """Returns the seconds after which to hedge, or None for never."""
+        if not call.route.idempotent or call.sent:
+            return None
+        if call.route.max_attempts < 2:
+            return None
+        latency = self.service('health').usual_latency(call.service)
+        return max(MIN_HEDGE_S, HEDGE_FACTOR * latency)
+
+    def hedge(self, call: Call) -> list[Attempt]:
+        """Starts a second attempt if the budget and the servers allow it."""
+        now = boot_time()
+        window = self.service('retry-window')
+        if not window.has(call.service, now, spare=HEDGE_SPARE):
+            return []
+        pick = self.slots.pick(call, now, hedge=True)
+        if pick is None:
+            return []
+        window.spend(call.service, now)
+        call.retries += 1
+        return [self.start(call, pick)]
+
+    def log_attempt(
+        self,
+        call: Call,
+        pick: Pick,
+        end: AttemptEnd,
+        step: Next,
+        now: Instant,
+    ) -> None:
+        """Writes the line of an attempt."""
+        log.info(
+            'attempt',
+            extra={
+                'figures': {
+                    'request': call.attempt_id,
+                    'server': pick.known.server.id,
+                    'service': call.service,
+                    'idempotent': call.route.idempotent,
+                    'condition': pick.condition.value,
+                    'trial': pick.trial,
+                    'in_flight': pick.in_flight,
+                    'result': end.result.value,
+                    'status': end.status,
+                    'problem': end.problem,
+                    'elapsed_ms': int(end.elapsed * MS_PER_S),
+                    'waited_ms': int(call.waited * MS_PER_S),
+                    'age_ms': int((now - call.arrived_at) * MS_PER_S),
+                    'next': step.value,
+                }
+            },
+        )
--- /dev/null
+++ b/teaselcove/ingress/services.py
@@ -0,0 +1,35 @@
+"""The services of a host on the platform.
+
+Importing this module fills their registry.
+"""
+
+from teaselcove.ingress import (
+    acceptance,
+    balance,
+    catalog,
+    discovery,
+    health,
+    members,
+    queueing,
+    quotas,
+    retry_window,
+)
+from teaselcove.ingress.kernel import KernelSettings, ingress_services
+from teaselcove.kernel import Kernel
+
+SERVICE_MODULES = (
+    acceptance,
+    balance,
+    catalog,
+    discovery,
+    health,
+    members,
+    queueing,
+    quotas,
+    retry_window,
+)
+
+
+def build(settings: KernelSettings, seed: int) -> Kernel:
+    """Returns a kernel with all services of a host."""
+    return Kernel(settings, seed, registry=ingress_services)
--- a/teaselcove/kernel.py
+++ b/teaselcove/kernel.py
@@ -11,7 +11,6 @@
 from teaselcove.events import PauseDetected, PeerMessageReceived, TimerDue
 from teaselcove.ids import Instant, TimerId
 from teaselcove.registry import Registry
-from teaselcove.settings import HostSettings
 
 # A timer that fires later than this shows that the process was stopped.
 PAUSE_LIMIT_S = 0.5
@@ -36,9 +35,10 @@
 
     def __init__(
         self,
-        settings: HostSettings,
+        settings: Any,
         seed: int = 0,
         names: list[str] | None = None,
+        registry: Registry[type] | None = None,
     ) -> None:
         """Builds the services.
 
@@ -46,6 +46,7 @@
             settings: Settings of the host.
             seed: Seed of the random generator that all services share.
             names: Services to build; all registered ones by default.
+            registry: Where the services are registered.
         """
         self.settings = settings
         self.random = random.Random(seed)
@@ -55,8 +56,9 @@
         self.timer_ids = itertools.count(1)
         self.handlers: dict[type, list[Callable[..., None]]] = defaultdict(list)
         self.services: dict[str, Any] = {}
-        for name in names or services.names():
-            self.add_service(name, services.get(name)(self))
+        entries = services if registry is None else registry
+        for name in names or entries.names():
+            self.add_service(name, entries.get(name)(self))
 
     def add_service(self, name: str, service: Any) -> None:
         """Adds a service and subscribes its handlers."""
--- /dev/null
+++ b/teaselcove/platform/records.py
@@ -0,0 +1,238 @@
+"""Decodes what operators and backend servers write to the platform's store."""
+
+from typing import Annotated
+
+import msgspec
+
+from teaselcove.entities import Server
+from teaselcove.errors import CodecError
+from teaselcove.ids import (
+    BackendServerId,
+    OrganisationId,
+    RouteId,
+    ServiceId,
+    Version,
+    ZoneName,
+)
+from teaselcove.ingress.entities import (
+    CallerLimits,
+    IngressConfiguration,
+    IngressOrganisation,
+    IngressRoute,
+    IngressService,
+    ServerEntry,
+    WeightedService,
+)
+
+MS_PER_S = 1000
+CONFIGURATION_TOPIC = 'keyed.op'
+CONFIGURATION_KEY = 'config'
+SERVERS_TOPIC = 'keyed.servers'
+
+SAFE = 'safe'
+READY = 'ready'
+DRAINING = 'draining'
+VERSION_PREFIX = 'r'
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class WireLimits(msgspec.Struct, rename='camel'):
+    """The table `limits`."""
+
+    max_header_bytes: Positive
+    max_body_bytes: Positive
+    header_timeout_ms: Positive
+    idle_timeout_ms: Positive
+
+
+class WireTenant(msgspec.Struct, rename='camel'):
+    """An organisation."""
+
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+    rate_per_s: NotNegative = 0
+    burst: NotNegative = 0
+
+
+class WireSplit(msgspec.Struct):
+    """A part of a route's requests."""
+
+    service: str
+    weight: NotNegative
+
+
+class WireAction(msgspec.Struct, rename='camel'):
+    """Where a route sends its requests: to one service or to several."""
+
+    timeout_ms: Positive
+    max_attempts: Positive
+    service: str | None = None
+    traffic_split: list[WireSplit] = []
+
+
+class WireMatch(msgspec.Struct, rename='camel'):
+    """Which requests a route covers."""
+
+    path_prefix: str
+
+
+class WireRule(msgspec.Struct, rename='camel'):
+    """A route."""
+
+    name: str
+    route_type: str
+    match: WireMatch
+    action: WireAction
+    target_latency_ms: NotNegative = 0
+    priority: int = 0
+    anonymous: bool = False
+
+
+class WireListener(msgspec.Struct):
+    """The routes of a host name; not an address to listen on."""
+
+    host: str
+    rules: list[WireRule]
+
+
+class WireCluster(msgspec.Struct, rename='camel'):
+    """A service."""
+
+    name: str
+    max_connections: Positive = 1
+
+
+class WireConfiguration(msgspec.Struct):
+    """The record of the configuration."""
+
+    version: str
+    limits: WireLimits
+    listeners: list[WireListener]
+    clusters: list[WireCluster]
+    tenants: list[WireTenant] = []
+
+
+class WireServer(msgspec.Struct, rename='camel'):
+    """The record of a backend server.
+
+    `version` (of its software) and `sequence` (the number of the heartbeat)
+    are not used.
+    """
+
+    service: str
+    address: str
+    zone: str
+    max_concurrency: Positive
+    state: str
+    warmup_left_ms: NotNegative = 0
+    # Unix time of the start in milliseconds.
+    born: int = 0
+
+
+def decode_configuration(payload: bytes) -> IngressConfiguration:
+    """Returns the configuration of a record.
+
+    Raises:
+        CodecError: If the record is not a configuration.
+    """
+    try:
+        wire = msgspec.json.decode(payload, type=WireConfiguration)
+    except msgspec.MsgspecError as error:
+        raise CodecError(f'configuration: {error}') from error
+    return IngressConfiguration(
+        decode_version(wire.version),
+        CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / MS_PER_S,
+            wire.limits.idle_timeout_ms / MS_PER_S,
+        ),
+        tuple(organisation_of(tenant) for tenant in wire.tenants),
+        {
+            listener.host.lower(): tuple(map(route_of, listener.rules))
+            for listener in wire.listeners
+        },
+        tuple(
+            IngressService(ServiceId(cluster.name), cluster.max_connections)
+            for cluster in wire.clusters
+        ),
+    )
+
+
+def decode_version(text: str) -> Version:
+    """Returns the number of a version such as `r12`.
+
+    Raises:
+        CodecError: If it is not a version.
+    """
+    number = text.removeprefix(VERSION_PREFIX)
+    if number == text or not (number.isascii() and number.isdigit()):
+        raise CodecError(f'configuration: {text!r} is not a version')
+    return Version(int(number))
+
+
+def organisation_of(tenant: WireTenant) -> IngressOrganisation:
+    """Returns an organisation."""
+    return IngressOrganisation(
+        OrganisationId(tenant.name),
+        tuple(tenant.api_keys),
+        tenant.rate_per_s,
+        tenant.burst,
+        tenant.priority,
+    )
+
+
+def route_of(rule: WireRule) -> IngressRoute:
+    """Returns a route.
+
+    Kinds of route that are not known are taken as not repeatable.
+    """
+    action = rule.action
+    services = [
+        WeightedService(ServiceId(split.service), split.weight)
+        for split in action.traffic_split
+    ]
+    if action.service is not None:
+        services.append(WeightedService(ServiceId(action.service), 1))
+    return IngressRoute(
+        RouteId(rule.name),
+        rule.match.path_prefix,
+        tuple(services),
+        rule.route_type == SAFE,
+        rule.priority,
+        rule.anonymous,
+        action.timeout_ms / MS_PER_S,
+        rule.target_latency_ms / MS_PER_S,
+        action.max_attempts,
+    )
+
+
+def decode_server(key: str, payload: bytes) -> ServerEntry:
+    """Returns what a backend server says about itself.
+
+    Raises:
+        CodecError: If the record names no server that can be used.
+    """
+    try:
+        wire = msgspec.json.decode(payload, type=WireServer)
+    except msgspec.MsgspecError as error:
+        raise CodecError(f'server {key}: {error}') from error
+    host, _, port = wire.address.rpartition(':')
+    if wire.state not in {READY, DRAINING} or not (host and port.isdigit()):
+        raise CodecError(f'server {key}: no usable state or address')
+    server = Server(
+        BackendServerId(key),
+        wire.address,
+        ZoneName(wire.zone),
+        wire.max_concurrency,
+    )
+    return ServerEntry(
+        server,
+        ServiceId(wire.service),
+        wire.state == DRAINING,
+        wire.warmup_left_ms / MS_PER_S,
+        wire.born,
+    )
