--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -235,9 +235,7 @@
     except ConnectionBrokenError as error:
         connection.close()
         stale = reused and not error.answered
-        return AttemptEnd(
-            AttemptResult.BROKEN, stale=stale, problem=str(error)
-        )
+        return AttemptEnd(AttemptResult.BROKEN, stale=stale, problem=str(error))
     connection.idle_limit = idle_limit(answer) or connection.idle_limit
     pool.keep(server.id, connection)
     elapsed = time.monotonic() - started
--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -1,4 +1,13 @@
-"""Choice of the backend server for an attempt."""
+"""Choice of the backend server for an attempt.
+
+Load: at any time some servers fail most requests for a few seconds, and a
+request that may run once is lost with the first failure that it meets. Such
+requests go to the servers that have completed one most recently. Requests
+that may be repeated keep testing the others, so that enough servers are known
+to work; a failure there costs a second attempt from the budget.
+"""
+
+import bisect
 
 import msgspec
 
@@ -13,6 +22,15 @@
 OTHER_ZONE_COST = 1.2
 # A server that has just started works about this many times slower.
 COLD_COST = 2
+# Steps of the time since a server's last success, in seconds: a difference
+# below a step does not count against load.
+SILENCE_STEPS_S = (0.25, 0.5, 1, 2)
+# A server without a success for this long is to be tested again.
+UNTESTED_S = 1
+# Share of a service's servers that should be known to work.
+TESTED_SHARE = 0.6
+# Share of the budget for second attempts that tests leave.
+TEST_SPARE = 0.4
 # One request more than slots may wait at a server: it starts at once when a
 # slot becomes free.
 WAITING_AT_SERVER = 1
@@ -95,10 +113,9 @@
             now: Present time.
         """
         health = self.kernel.service('health')
-        discovery = self.kernel.service('discovery')
         usable = [
             known
-            for known in discovery.usable(service, now)
+            for known in self.kernel.service('discovery').usable(service, now)
             if known.server.id not in exclude
         ]
         open_servers = [
@@ -108,24 +125,53 @@
             and not health.is_closed(known.server.id, now)
         ]
         if idempotent and not exclude:
-            due = self.due(open_servers, now)
-            if due is not None:
-                return self.picked(due, trial=True)
+            test = self.server_to_test(service, usable, open_servers, now)
+            if test is not None:
+                return self.picked(test, trial=True)
         return self.best(usable, open_servers, now)
 
-    def due(
-        self, open_servers: list[KnownServer], now: Instant
+    def server_to_test(
+        self,
+        service: ServiceId,
+        usable: list[KnownServer],
+        open_servers: list[KnownServer],
+        now: Instant,
     ) -> KnownServer | None:
-        """Returns a server that is not well and should be tried now."""
+        """Returns a server that a repeatable request should test, or None."""
+        window = self.kernel.service('retry-window')
+        if not window.has(service, now, spare=TEST_SPARE):
+            return None
         health = self.kernel.service('health')
+        tested = sum(
+            health.condition(known.server.id) is Condition.WELL
+            and health.silence(known.server.id, now) < UNTESTED_S
+            for known in usable
+        )
+        enough = tested >= TESTED_SHARE * len(usable)
         due = [
             known
             for known in open_servers
-            if health.condition(known.server.id) is not Condition.WELL
-            and health.may_try(known.server.id, now)
+            if health.may_try(known.server.id, now)
+            and self.is_untested(known, enough, now)
         ]
         return self.kernel.random.choice(due) if due else None
 
+    def is_untested(
+        self, known: KnownServer, enough: bool, now: Instant
+    ) -> bool:
+        """Returns whether a server needs a test.
+
+        Args:
+            known: The server.
+            enough: Whether enough servers are known to work.
+            now: Present time.
+        """
+        health = self.kernel.service('health')
+        if health.condition(known.server.id) is not Condition.WELL:
+            return True
+        silent = health.silence(known.server.id, now) > UNTESTED_S
+        return silent and not enough
+
     def best(
         self,
         usable: list[KnownServer],
@@ -159,9 +205,21 @@
             return Condition.WELL
         return health.condition(known.server.id)
 
-    def rank(self, known: KnownServer, now: Instant) -> tuple[float, float]:
-        """Returns the order among servers; equals in random order."""
-        return self.cost(known, now), self.kernel.random.random()
+    def rank(
+        self, known: KnownServer, now: Instant
+    ) -> tuple[bool, int, float, float]:
+        """Returns the order among servers; equals in random order.
+
+        A free slot comes first, then a recent success, then the cost.
+        """
+        name = known.server.id
+        silence = self.kernel.service('health').silence(name, now)
+        return (
+            self.load(name) >= known.server.slots,
+            bisect.bisect(SILENCE_STEPS_S, silence),
+            self.cost(known, now),
+            self.kernel.random.random(),
+        )
 
     def picked(self, known: KnownServer, trial: bool) -> Pick:
         """Returns the choice with what it was based on."""
--- a/teaselcove/ingress/catalog.py
+++ b/teaselcove/ingress/catalog.py
@@ -41,6 +41,7 @@
         version: Version in force; it never goes back.
         confirmed_at: When the latest read was sent that proved this version
             to be the newest.
+        read_at: When this host's own latest such read was sent.
         credit: Share of each service in the split of a route, kept so that
             the shares are exact over any run of requests.
     """
@@ -50,6 +51,7 @@
         self.configuration: IngressConfiguration | None = None
         self.version = Version(0)
         self.confirmed_at: Instant | None = None
+        self.read_at: Instant | None = None
         self.tables: dict[str, RouteTable] = {}
         self.by_key: dict[str, IngressOrganisation] = {}
         self.organisations: dict[OrganisationId, IngressOrganisation] = {}
@@ -108,9 +110,7 @@
     def route_for(self, host: str, path: str) -> IngressRoute | None:
         """Returns the route of a request, or None."""
         name = host.lower()
-        table = self.tables.get(name) or self.tables.get(
-            name.partition(':')[0]
-        )
+        table = self.tables.get(name) or self.tables.get(name.partition(':')[0])
         return table.match(path) if table else None
 
     def organisation_of(self, key: str) -> IngressOrganisation | None:
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -28,7 +28,6 @@
 from teaselcove.ingress.requests import Requests
 from teaselcove.ingress.server import CallerEndpoint, OwnEndpoint
 from teaselcove.ingress.settings import IngressSettings, load_settings
-from teaselcove.kernel import Kernel
 from teaselcove.platform import hosts
 from teaselcove.platform.boot import Boot, load_boot, settings_path
 from teaselcove.platform.store import StoreClient, open_session
@@ -151,8 +150,10 @@
         self.service('members').start(self.own, boot_time())
         async with open_session() as session:
             self.store = StoreClient(self.boot.store_address, session)
-            self.freshness = Freshness(self.kernel, self.store)
-            self.requests = Requests(self.kernel, self.pool, self.freshness)
+            self.freshness = Freshness(self.kernel, self.store, self.gossip)
+            self.requests = Requests(
+                self.kernel, self.pool, self.freshness, self.gossip.tokens
+            )
             await self.listen()
             self.gossip.transport.bind()
             self.spawn(self.gossip.transport.run())
--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -1,5 +1,7 @@
 """The backend servers that may get work, as they register in the store."""
 
+import zlib
+
 import msgspec
 
 from teaselcove.entities import Server
@@ -37,7 +39,9 @@
     """Keeps the servers and tells which of them may get new work.
 
     Attributes:
-        read_at: When the latest complete read was sent.
+        read_at: Time as of which the servers are known.
+        own_read_at: When this host's own latest read was sent.
+        digest: Tells whether two hosts know the same servers.
         recovered_at: When the store answered again after an outage.
     """
 
@@ -46,12 +50,19 @@
         self.servers: dict[BackendServerId, KnownServer] = {}
         self.by_service: dict[ServiceId, list[KnownServer]] = {}
         self.read_at: Instant | None = None
+        self.own_read_at: Instant | None = None
+        self.digest = 0
         self.recovered_at: Instant | None = None
 
     def age(self, now: Instant) -> float:
         """Returns the age in seconds of what is known."""
         return float('inf') if self.read_at is None else now - self.read_at
 
+    def confirm(self, asked_at: Instant) -> None:
+        """Notes that what is known was the newest at a time."""
+        if self.read_at is None or asked_at > self.read_at:
+            self.read_at = asked_at
+
     def store_recovered(self, now: Instant) -> None:
         """Notes that the store answers again after an outage."""
         self.recovered_at = now
@@ -121,12 +132,17 @@
     def is_recovering(self, now: Instant) -> bool:
         """Returns whether entries may be missing because of an outage."""
         return (
-            self.recovered_at is not None
-            and now - self.recovered_at < RETURN_S
+            self.recovered_at is not None and now - self.recovered_at < RETURN_S
         )
 
     def index(self) -> None:
-        """Groups the servers by service."""
+        """Groups the servers by service and works out the digest."""
+        lines = sorted(
+            f'{name} {known.service} {known.leaving} {known.started_ms}'
+            f' {known.server.address}'
+            for name, known in self.servers.items()
+        )
+        self.digest = zlib.crc32('\n'.join(lines).encode())
         self.by_service = {}
         for known in self.servers.values():
             self.by_service.setdefault(known.service, []).append(known)
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -16,7 +16,8 @@
 )
 from teaselcove.ids import BackendServerId, Instant
 from teaselcove.ingress.clock import boot_time
-from teaselcove.ingress.entities import KeyedRecord, RecordPage
+from teaselcove.ingress.entities import KeyedRecord, RecordPage, ServerEntry
+from teaselcove.ingress.gossip import Gossip, ServerNews
 from teaselcove.kernel import Kernel
 from teaselcove.platform import records
 from teaselcove.platform.store import StoreClient
@@ -26,9 +27,14 @@
 # Seconds that a long poll waits. Keep-alive probes find silent connections
 # sooner.
 POLL_WAIT_S = 15
-# A host that serves requests confirms its configuration at this age in
-# seconds; withdrawn keys must stop within 5 s.
-CONFIRM_AGE_S = 2.5
+# A host that reads for its zone confirms the configuration at this interval
+# in seconds. Others confirm it themselves at a higher age; withdrawn keys must
+# stop within 5 s.
+CONFIRM_INTERVAL_S = 1.2
+CONFIRM_AGE_S = 2.8
+# Age in seconds at which a host that serves requests reads the servers
+# itself; one that leaves must get no work after 2 s.
+SERVERS_AGE_S = 1.6
 # Seconds that a request waits for the store to confirm.
 CONFIRM_WAIT_S = 0.6
 FIRST_PAUSE_S = 0.1
@@ -83,9 +89,13 @@
         failures: Reads in a row that failed.
     """
 
-    def __init__(self, kernel: Kernel, store: StoreClient) -> None:
+    def __init__(
+        self, kernel: Kernel, store: StoreClient, gossip: Gossip
+    ) -> None:
         self.kernel = kernel
         self.store = store
+        self.gossip = gossip
+        gossip.outdated = self.outdated
         self.followers = {
             topic: Follower(store, topic)
             for topic in (records.CONFIGURATION_TOPIC, records.SERVERS_TOPIC)
@@ -95,6 +105,15 @@
         self.confirming: asyncio.Task[None] | None = None
         self.reading_servers: asyncio.Task[None] | None = None
 
+    def outdated(self) -> None:
+        """Reads the configuration because another host has a newer one."""
+        if self.confirming is None or self.confirming.done():
+            self.confirming = self.spawn(self.read_configuration)
+
+    def vouch(self) -> None:
+        """Lets the other hosts of the zone know what was read."""
+        self.gossip.send_heartbeats(boot_time())
+
     def is_serving(self, now: Instant) -> bool:
         """Returns whether the host served a request lately."""
         return now - self.served_at < IDLE_S
@@ -143,7 +162,9 @@
             self.take_configuration(item)
         # The store accepts valid configurations only, so a record that
         # cannot be read withdraws no key.
-        self.kernel.service('catalog').confirm(page.asked_at)
+        catalog = self.kernel.service('catalog')
+        catalog.confirm(page.asked_at)
+        catalog.read_at = page.asked_at
         return True
 
     def take_configuration(self, record: KeyedRecord) -> None:
@@ -178,9 +199,7 @@
             self.confirming = self.spawn(self.read_configuration)
         await asyncio.wait([self.confirming], timeout=CONFIRM_WAIT_S)
 
-    def spawn(
-        self, read: Callable[[], Awaitable[bool]]
-    ) -> asyncio.Task[None]:
+    def spawn(self, read: Callable[[], Awaitable[bool]]) -> asyncio.Task[None]:
         """Runs a read in the background."""
 
         async def work() -> None:  # noqa: WPS430
@@ -201,16 +220,38 @@
             self.reading_servers = self.spawn(self.read_servers)
         await asyncio.wait([self.reading_servers], timeout=CONFIRM_WAIT_S)
 
+    def is_reader(self, now: Instant) -> bool:
+        """Returns whether this host reads for its availability zone."""
+        members = self.kernel.service('members')
+        in_use = members.in_use(now)
+        return bool(in_use) and in_use[0] == members.own
+
     async def keep_fresh(self) -> None:
-        """Confirms and reads at intervals while the host serves."""
+        """Reads the store at intervals, for the zone or when need be."""
         interval = self.kernel.settings.ingress.server_read_interval
         while True:
             now = boot_time()
+            if self.is_reader(now):
+                await self.read_for_zone(now)
+                await asyncio.sleep(interval)
+                continue
             if self.is_serving(now):
-                await self.read_servers()
-                if self.kernel.service('catalog').age(now) > CONFIRM_AGE_S:
-                    await self.confirm()
-            await asyncio.sleep(interval)
+                await self.read_if_old(now)
+            await asyncio.sleep(interval / 2)
+
+    async def read_for_zone(self, now: Instant) -> None:
+        """Reads the servers and vouches for what the zone knows."""
+        await self.read_servers()
+        if self.kernel.service('catalog').age(now) > CONFIRM_INTERVAL_S:
+            await self.confirm()
+        self.vouch()
+
+    async def read_if_old(self, now: Instant) -> None:
+        """Reads what no other host has vouched for lately."""
+        if self.kernel.service('discovery').age(now) > SERVERS_AGE_S:
+            await self.read_servers()
+        if self.kernel.service('catalog').age(now) > CONFIRM_AGE_S:
+            await self.confirm()
 
     async def read_servers(self) -> bool:
         """Reads new server entries; returns whether the store answered."""
@@ -223,40 +264,57 @@
         now = boot_time()
         self.answered(now)
         discovery = self.kernel.service('discovery')
+        tell = self.is_reader(now) and not complete
         for record in page.records:
-            self.take_server(record, now)
+            changed = self.take_server(record, now)
+            if changed and tell:
+                self.tell_server(record)
         if complete:
             listed = {BackendServerId(item.key) for item in page.records}
             discovery.retain(listed, page.next_offset)
-        discovery.read_at = page.asked_at
+        discovery.confirm(page.asked_at)
+        discovery.own_read_at = page.asked_at
         return True
 
-    def take_server(self, record: KeyedRecord, now: Instant) -> None:
-        """Takes over an entry of a server."""
+    def take_server(self, record: KeyedRecord, now: Instant) -> bool:
+        """Takes over an entry of a server; returns whether it changed."""
         discovery = self.kernel.service('discovery')
         name = BackendServerId(record.key)
-        if record.value is None:
-            if discovery.drop(name, record.offset, now):
-                log.info('server-gone', extra={'figures': {'server': name}})
-            return
-        try:
-            entry = records.decode_server(record.key, record.value)
-        except CodecError as error:
-            log.warning(
-                'server-unreadable',
-                extra={'figures': {'server': name, 'why': str(error)}},
-            )
-            discovery.drop(name, record.offset, now)
-            return
-        if discovery.note(entry, record.offset, now):
+        entry = server_entry(record)
+        if entry is None:
+            changed = discovery.drop(name, record.offset, now)
+        else:
+            changed = discovery.note(entry, record.offset, now)
+        if changed:
             log.info(
-                'server',
+                'server' if entry else 'server-gone',
                 extra={
                     'figures': {
                         'server': name,
-                        'service': entry.service,
-                        'leaving': entry.leaving,
+                        'service': entry.service if entry else None,
+                        'leaving': entry.leaving if entry else None,
                         'offset': record.offset,
                     }
                 },
             )
+        return changed
+
+    def tell_server(self, record: KeyedRecord) -> None:
+        """Tells the other hosts of the zone of a changed entry."""
+        name = BackendServerId(record.key)
+        news = ServerNews(name, record.offset, server_entry(record))
+        self.gossip.send_server(news)
+
+
+def server_entry(record: KeyedRecord) -> ServerEntry | None:
+    """Returns the server of a record; None if it names no usable one."""
+    if record.value is None:
+        return None
+    try:
+        return records.decode_server(record.key, record.value)
+    except CodecError as error:
+        log.warning(
+            'server-unreadable',
+            extra={'figures': {'server': record.key, 'why': str(error)}},
+        )
+        return None
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -2,16 +2,28 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 import msgspec
 
 from teaselcove.crashes import CrashSuspected
 from teaselcove.events import HostEntry, HostsListed, PeerMessageReceived
-from teaselcove.ids import BackendServerId, HostId, Incarnation, Instant
+from teaselcove.ids import (
+    BackendServerId,
+    HostId,
+    Incarnation,
+    Instant,
+    Version,
+)
 from teaselcove.ingress.clock import boot_time
-from teaselcove.ingress.entities import HostRecord
+from teaselcove.ingress.entities import HostRecord, ServerEntry
 from teaselcove.ingress.health import Evidence
 from teaselcove.ingress.members import HEARTBEAT_INTERVAL_S
+from teaselcove.ingress.tokens import (
+    TokenExchange,
+    TokensGiven,
+    TokensWanted,
+)
 from teaselcove.kernel import Kernel
 from teaselcove.messages import message
 from teaselcove.settings import HostSettings
@@ -42,12 +54,37 @@
     Attributes:
         hears: Hosts of the sender's availability zone that it hears; empty
             for hosts of other zones.
+        sent_at: Present time on the sender's clock.
+        version: Version of the configuration in force at the sender.
+        keys_as_of: Time on the recipient's clock at which that version was
+            the newest, if the sender has read the store since; or None.
+        servers: Digest of the backend servers that the sender knows.
+        servers_as_of: The same as `keys_as_of` for these servers.
     """
 
     record: HostRecord
     leaving: bool
     in_use: bool
     hears: tuple[HostId, ...]
+    sent_at: Instant
+    version: Version
+    keys_as_of: Instant | None
+    servers: int
+    servers_as_of: Instant | None
+
+
+@message('server-news')
+class ServerNews(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server whose entry has changed.
+
+    Attributes:
+        offset: Offset of the entry in the store.
+        entry: The entry, or None if it is gone.
+    """
+
+    server: BackendServerId
+    offset: int
+    entry: ServerEntry | None
 
 
 @message('ingress-report')
@@ -70,12 +107,17 @@
 
 
 class Gossip:
-    """Exchanges messages with the other hosts."""
+    """Exchanges messages with the other hosts.
+
+    Attributes:
+        outdated: Called when another host has a newer configuration.
+    """
 
     def __init__(
         self, kernel: Kernel, own: HostRecord, settings: HostSettings
     ) -> None:
         self.kernel = kernel
+        self.outdated: Callable[[], None] = lambda: None
         self.own = own
         self.beats = 0
         self.reports = 0
@@ -85,6 +127,7 @@
         self.transport = Transport(
             settings, Incarnation(own.started_ms), self.receive
         )
+        self.tokens = TokenExchange(kernel, self.transport.send)
 
     def update_addresses(self) -> None:
         """Lets the transport know the addresses of all hosts."""
@@ -109,6 +152,12 @@
             self.take_heartbeat(body, now)
         elif isinstance(body, Report):
             self.take_report(event.sender, body, now)
+        elif isinstance(body, ServerNews):
+            self.take_server(body, now)
+        elif isinstance(body, TokensWanted):
+            self.tokens.wanted(event.sender, body, now)
+        elif isinstance(body, TokensGiven):
+            self.tokens.given(event.sender, body)
         elif isinstance(body, CrashSuspected):
             crashes = self.kernel.service('acceptance').crashes
             crashes.note_crash(body.digest, body.server, now)
@@ -121,6 +170,10 @@
         appeared = members.heard(
             beat.record, beat.leaving, beat.in_use, frozenset(beat.hears), now
         )
+        self.kernel.service('vouching').note(
+            beat.record.host, beat.sent_at, now
+        )
+        self.take_beliefs(beat, now)
         if renewed:
             self.update_addresses()
         if appeared:
@@ -128,9 +181,27 @@
                 'host-heard', extra={'figures': {'peer': beat.record.host}}
             )
 
-    def take_report(
-        self, sender: HostId, report: Report, now: Instant
-    ) -> None:
+    def take_beliefs(self, beat: Heartbeat, now: Instant) -> None:
+        """Takes over for which time the sender vouches."""
+        catalog = self.kernel.service('catalog')
+        if beat.version > catalog.version:
+            self.outdated()
+        if beat.keys_as_of is not None and beat.version == catalog.version:
+            catalog.confirm(min(beat.keys_as_of, now))
+        discovery = self.kernel.service('discovery')
+        known = beat.servers_as_of is not None
+        if known and beat.servers == discovery.digest:
+            discovery.confirm(min(beat.servers_as_of, now))
+
+    def take_server(self, news: ServerNews, now: Instant) -> None:
+        """Takes over a changed entry of a backend server."""
+        discovery = self.kernel.service('discovery')
+        if news.entry is None:
+            discovery.drop(news.server, news.offset, now)
+        else:
+            discovery.note(news.entry, news.offset, now)
+
+    def take_report(self, sender: HostId, report: Report, now: Instant) -> None:
         """Takes over evidence and counts of attempts."""
         health = self.kernel.service('health')
         for evidence in report.evidence:
@@ -180,17 +251,41 @@
         )
         self.was_in_use = in_use
         hears = tuple(members.heard_hosts(now))
-        near = Heartbeat(self.own, members.leaving, in_use, hears)
-        far = Heartbeat(self.own, members.leaving, in_use, ())
         to_far = announce or self.beats % FAR_BEATS == 0
         elsewhere = {item.host for item in members.elsewhere_in_use(now)}
         for host, peer in members.peers.items():
             if peer.record.zone == self.own.zone:
-                self.transport.send(host, near)
+                self.transport.send(host, self.heartbeat(host, hears, now))
             elif announce or (in_use and to_far and host in elsewhere):
-                self.transport.send(host, far)
+                self.transport.send(host, self.heartbeat(host, (), now))
         self.beats += 1
 
+    def heartbeat(
+        self, host: HostId, hears: tuple[HostId, ...], now: Instant
+    ) -> Heartbeat:
+        """Returns the heartbeat for a host."""
+        catalog = self.kernel.service('catalog')
+        discovery = self.kernel.service('discovery')
+        vouching = self.kernel.service('vouching')
+        members = self.kernel.service('members')
+        return Heartbeat(
+            self.own,
+            members.leaving,
+            self.was_in_use,
+            hears,
+            now,
+            catalog.version,
+            vouching.time_for(host, catalog.read_at),
+            discovery.digest,
+            vouching.time_for(host, discovery.own_read_at),
+        )
+
+    def send_server(self, news: ServerNews) -> None:
+        """Tells the hosts of the own zone of a changed server."""
+        members = self.kernel.service('members')
+        for peer in members.live(self.own.zone, boot_time()):
+            self.transport.send(peer.record.host, news)
+
     def send_report(self, now: Instant) -> None:
         """Sends evidence; failures at once, the rest now and then."""
         health = self.kernel.service('health')
--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -18,7 +18,7 @@
 SERVER_ERROR_STATUS = 500
 # Failures in a row after which a server is out.
 OUT_FAILURES = 2
-# Successes in a row that bring a server back from out. At a failure rate of
+# Successes in a row after which a server is well again. At a failure rate of
 # three in four, one success would readmit it wrongly in a quarter of trials.
 RETURN_SUCCESSES = 2
 # Pause before a suspect server is tried again; it doubles with each failure
@@ -62,6 +62,7 @@
     successes: int = 0
     path_failures: int = 0
     last_failure: Instant = Instant(0)
+    last_success: Instant = Instant(0)
     closed_until: Instant = Instant(0)
     trial_at: Instant = Instant(0)
     latency: float | None = None
@@ -125,11 +126,15 @@
         record = self.records.get(server)
         return record is None or now - record.last_failure > FORGIVE_S
 
+    def silence(self, server: BackendServerId, now: Instant) -> float:
+        """Returns the seconds since a server last completed a request."""
+        record = self.records.get(server)
+        return now - (record.last_success if record else 0)
+
     def started(self, server: BackendServerId, now: Instant) -> None:
         """Lets no second request try a server that is not well at once."""
-        record = self.records.get(server)
-        if record is not None and (record.failures or record.path_failures):
-            record.trial_at = Instant(now + self.pause(record))
+        record = self.record(server)
+        record.trial_at = Instant(now + self.pause(record))
 
     def pause(self, record: Record) -> float:
         """Returns the seconds between trials of a server."""
@@ -183,8 +188,8 @@
         record = self.record(evidence.server)
         if evidence.well:
             record.successes += 1
-            needed = RETURN_SUCCESSES if record.failures > 1 else 1
-            if record.successes >= needed:
+            record.last_success = now
+            if record.successes >= RETURN_SUCCESSES:
                 record.failures = 0
             return
         record.successes = 0
--- a/teaselcove/ingress/quotas.py
+++ b/teaselcove/ingress/quotas.py
@@ -3,8 +3,9 @@
 Load: one organisation sends many times its rate, at all hosts. Each place in
 the list of hosts in use holds an equal share of every rate and burst. Other
 hosts, which only callers with an old answer reach, hold a small share out of
-the overage that the bound allows. So the sum never exceeds the bound, also
-while hosts are cut off from each other.
+the overage that the bound allows. A host that runs out asks the others for
+tokens. So the sum never exceeds the bound, also while hosts are cut off from
+each other.
 """
 
 import msgspec
@@ -24,6 +25,10 @@
 # any, the first requests after a restart would be refused.
 FIRST_TOKENS = 2
 MIN_RETRY_AFTER_S = 0.05
+# Requests per second below which a wait is not worked out from the rate.
+MIN_RATE = 0.02
+# Tokens of other hosts that a host may hold.
+MAX_BORROWED = 8
 
 
 class Allowance(msgspec.Struct, frozen=True):
@@ -35,11 +40,16 @@
 
 @ingress_services.register('quotas')
 class Quotas:
-    """Keeps a token bucket for each organisation."""
+    """Keeps a token bucket for each organisation.
+
+    Attributes:
+        borrowed: Tokens that other hosts have given.
+    """
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.buckets: dict[OrganisationId, Bucket] = {}
+        self.borrowed: dict[OrganisationId, int] = {}
 
     def allowance(
         self, organisation: IngressOrganisation, now: Instant
@@ -61,6 +71,26 @@
             else max(1, organisation.rate * window * share / 2),
         )
 
+    def bucket(self, organisation: IngressOrganisation, now: Instant) -> Bucket:
+        """Returns the refilled bucket of an organisation.
+
+        It counts from the start of the process, whenever the organisation
+        sends its first request.
+        """
+        allowance = self.allowance(organisation, now)
+        capacity = max(1, allowance.burst)
+        bucket = self.buckets.get(organisation.id)
+        if bucket is None:
+            started_at = self.kernel.service('members').started_at
+            bucket = Bucket(allowance.rate, capacity, started_at)
+            bucket.level = min(FIRST_TOKENS, capacity)
+            self.buckets[organisation.id] = bucket
+        bucket.refill(now)
+        bucket.rate = allowance.rate
+        bucket.capacity = capacity
+        bucket.level = min(bucket.level, capacity)
+        return bucket
+
     def take(
         self, organisation: IngressOrganisation, now: Instant
     ) -> float | None:
@@ -71,17 +101,33 @@
         """
         if not organisation.rate:
             return None
-        allowance = self.allowance(organisation, now)
-        bucket = self.buckets.get(organisation.id)
-        if bucket is None:
-            bucket = Bucket(0, 0, now)
-            bucket.level = min(FIRST_TOKENS, allowance.burst)
-            self.buckets[organisation.id] = bucket
-        bucket.refill(now)
-        bucket.rate = allowance.rate
-        bucket.capacity = max(1, allowance.burst)
-        bucket.level = min(bucket.level, bucket.capacity)
+        bucket = self.bucket(organisation, now)
         if bucket.take(now):
             return None
-        wait = (1 - bucket.level) / max(allowance.rate, 1 / 60)
+        if self.borrowed.get(organisation.id):
+            self.borrowed[organisation.id] -= 1
+            return None
+        wait = (1 - bucket.level) / max(bucket.rate, MIN_RATE)
         return max(MIN_RETRY_AFTER_S, wait)
+
+    def give(
+        self, organisation: IngressOrganisation, wanted: int, now: Instant
+    ) -> int:
+        """Takes tokens for another host; returns how many.
+
+        They leave this bucket before the other host adds them, so a message
+        that is lost can waste tokens but never make any.
+        """
+        if not organisation.rate:
+            return 0
+        bucket = self.bucket(organisation, now)
+        given = min(wanted, int(bucket.level))
+        if bucket.level - given < 1 and given > 1:
+            given -= 1
+        bucket.level -= given
+        return given
+
+    def add(self, organisation: IngressOrganisation, tokens: int) -> None:
+        """Adds tokens that another host has given."""
+        held = self.borrowed.get(organisation.id, 0) + tokens
+        self.borrowed[organisation.id] = min(MAX_BORROWED, held)
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from teaselcove.crashes import BLOCKED_S
-from teaselcove.errors import Refusal
+from teaselcove.errors import Reason, Refusal
 from teaselcove.events import AttemptResult
 from teaselcove.ids import Instant
 from teaselcove.ingress.acceptance import Acceptance, Arrival
@@ -29,6 +29,7 @@
 from teaselcove.ingress.connection import RawAnswer
 from teaselcove.ingress.freshness import Freshness
 from teaselcove.ingress.slots import Slots
+from teaselcove.ingress.tokens import TokenExchange
 from teaselcove.kernel import Kernel
 
 log = logging.getLogger('teaselcove.requests')
@@ -58,11 +59,16 @@
     """
 
     def __init__(
-        self, kernel: Kernel, pool: BackendPool, freshness: Freshness
+        self,
+        kernel: Kernel,
+        pool: BackendPool,
+        freshness: Freshness,
+        tokens: TokenExchange,
     ) -> None:
         self.kernel = kernel
         self.pool = pool
         self.freshness = freshness
+        self.tokens = tokens
         self.slots = Slots(kernel)
         self.running: set[Call] = set()
 
@@ -81,6 +87,10 @@
         if acceptance.needs_confirmation(arrival, arrived_at):
             await self.freshness.confirm()
         accepted = acceptance.accept(arrival, boot_time())
+        if isinstance(accepted, Refusal) and accepted.reason is Reason.RATE:
+            organisation = self.service('catalog').organisation_of(arrival.key)
+            if await self.tokens.obtain(organisation.id):
+                accepted = acceptance.accept(arrival, boot_time())
         if isinstance(accepted, Refusal):
             raise RefusedError(accepted)
         self.running.add(accepted)
@@ -130,9 +140,7 @@
         finally:
             call.waited += boot_time() - asked_at
 
-    async def attempt(
-        self, call: Call, pick: Pick
-    ) -> tuple[Pick, AttemptEnd]:
+    async def attempt(self, call: Call, pick: Pick) -> tuple[Pick, AttemptEnd]:
         """Makes an attempt, and a second one beside it if that is slow."""
         attempts = [self.start(call, pick)]
         try:
--- a/teaselcove/ingress/server.py
+++ b/teaselcove/ingress/server.py
@@ -120,7 +120,8 @@
         self, arrival: Arrival, answer: RawAnswer, arrived_at: float
     ) -> None:
         """Writes the line of an answer."""
-        self.daemon.readout.ended(f'answered-{answer.status // 100}xx', arrived_at)
+        outcome = f'answered-{answer.status // 100}xx'
+        self.daemon.readout.ended(outcome, arrived_at)
         log.info(
             'answered',
             extra={
@@ -303,9 +304,7 @@
     send: Send, status: int, content_type: tuple[bytes, bytes], body: Any
 ) -> None:
     """Sends a JSON response."""
-    await respond_bytes(
-        send, status, content_type, msgspec.json.encode(body)
-    )
+    await respond_bytes(send, status, content_type, msgspec.json.encode(body))
 
 
 async def respond_bytes(
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -13,6 +13,7 @@
     queueing,
     quotas,
     retry_window,
+    vouching,
 )
 from teaselcove.ingress.kernel import KernelSettings, ingress_services
 from teaselcove.kernel import Kernel
@@ -27,6 +28,7 @@
     queueing,
     quotas,
     retry_window,
+    vouching,
 )
 
 
--- a/teaselcove/ingress/settings.py
+++ b/teaselcove/ingress/settings.py
@@ -11,9 +11,7 @@
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
-class IngressSettings(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True
-):
+class IngressSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of a host.
 
     Attributes:
