Add tests, stand-ins and the design note for the platform; log lines and explain

Cause: the path on the platform had no tests without the bench, and a failed request could not be traced. Change: a stand-in of the store and of servers, contract and process tests, bounded structured log lines on standard output, teaselcove explain, the design note. Attempts that hang count as failures before their deadline; the choice of a server adds up expected losses.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -63,6 +63,11 @@
         keys_seen: Requests that carried a caller's key.
     """
 
+    request_id_header = REQUEST_ID_HEADER
+    organisation_header = ORGANISATION_HEADER
+    shed_header = SHED_HEADER
+    call_header = CALL_HEADER
+
     def __init__(self, server: str) -> None:
         self.server = server
         self.fault = Fault()
@@ -79,10 +84,13 @@
         body = await request.body()
         if self.running >= SLOTS + QUEUE:
             self.shed += 1
-            request_id = request.headers.get(REQUEST_ID_HEADER, '')
+            request_id = request.headers.get(self.request_id_header, '')
             return Response(
                 status_code=SHED_STATUS,
-                headers={SHED_HEADER: '1', REQUEST_ID_HEADER: request_id},
+                headers={
+                    self.shed_header: '1',
+                    self.request_id_header: request_id,
+                },
             )
         self.running += 1
         try:
@@ -97,8 +105,9 @@
             os._exit(CRASH_EXIT_CODE)
         values = ' '.join(request.headers.values())
         self.keys_seen += KEY_MARK in values
-        self.organisations[request.headers.get(ORGANISATION_HEADER, '')] += 1
-        call = request.headers.get(CALL_HEADER)
+        organisation = request.headers.get(self.organisation_header, '')
+        self.organisations[organisation] += 1
+        call = request.headers.get(self.call_header)
         if call:
             self.runs[call] += 1
         mean = SERVICE_TIME_S * self.fault.slow_factor
@@ -112,11 +121,13 @@
         body = msgspec.json.encode(
             {'server': self.server, 'path': request.url.path, 'call': call}
         )
-        request_id = request.headers.get(REQUEST_ID_HEADER, '')
+        request_id = request.headers.get(self.request_id_header, '')
         headers = {
             'content-type': 'application/json',
             'content-length': str(len(body)),
-            REQUEST_ID_HEADER: 'other' if self.fault.wrong_id else request_id,
+            self.request_id_header: (
+                'other' if self.fault.wrong_id else request_id
+            ),
         }
         if self.random.random() < self.fault.truncate_share:
             body = body[: len(body) // 2]
--- /dev/null
+++ b/standins/platform_deployment.py
@@ -0,0 +1,172 @@
+"""A deployment on stand-ins of the users' platform, as separate processes."""
+
+import http.client
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from standins.processes import Processes, free_port, wait_until_listening
+from teaselcove.platform.boot import SETTINGS_VARIABLE
+from teaselcove.platform.records import CONFIGURATION_KEY, CONFIGURATION_TOPIC
+
+CALL_TIMEOUT_S = 5
+BOUNDS = {
+    'revokeMs': 5000,
+    'drainMs': 2000,
+    'graceS': 4,
+    'quotaWindowS': 5,
+    'quotaOverage': 0.1,
+    'quotaSlack': 20,
+    'retryBudgetRatio': 0.2,
+    'retryWindowS': 10,
+    'retrySlack': 60,
+    'floorShare': 0.7,
+}
+
+
+class PlatformDeployment:
+    """A store, backend servers and hosts on loopback addresses.
+
+    Attributes:
+        zones: Availability zone of each host by name.
+        listen: Addresses of each host by their use.
+    """
+
+    def __init__(
+        self, directory: Path, network: int, hosts: int, servers: int
+    ) -> None:
+        self.directory = directory
+        self.network = network
+        self.processes = Processes(directory)
+        self.store = self.address(250, 1)
+        self.names = [f'host-{index}' for index in range(hosts)]
+        self.zones = {
+            name: 'abc'[index % 3] for index, name in enumerate(self.names)
+        }
+        self.listen: dict[str, dict[str, str]] = {}
+        self.servers = {
+            f'server-{index}': self.address(100 + index, 1)
+            for index in range(servers)
+        }
+
+    def address(self, last: int, count: int) -> str:
+        """Returns an address with a free port."""
+        ip = f'127.0.{self.network}.{last}'
+        return f'{ip}:{free_port(ip)}'
+
+    def start(self, configuration: bytes) -> None:
+        """Starts all processes and puts a configuration in force."""
+        ip, port = self.store.split(':')
+        self.processes.start('store', 'standins.log_store', ip, port)
+        wait_until_listening(ip, int(port))
+        self.put_configuration(configuration)
+        for index, (name, address) in enumerate(self.servers.items()):
+            self.start_server(name, address, 'abc'[index % 3])
+        for name in self.names:
+            self.start_host(name)
+
+    def start_server(self, name: str, address: str, zone: str) -> None:
+        """Starts a backend server."""
+        ip, port = address.split(':')
+        self.processes.start(
+            name, 'standins.platform_server', ip, port, name, zone, self.store
+        )
+        wait_until_listening(ip, int(port))
+
+    def start_host(self, name: str) -> None:
+        """Starts a host and waits until it listens."""
+        last = 1 + self.names.index(name)
+        ip = f'127.0.{self.network}.{last}'
+        self.listen[name] = {
+            use: f'{ip}:{free_port(ip)}'
+            for use in ('frontendAddr', 'ready', 'directoryAddr')
+        }
+        path = self.directory / f'{name}.json'
+        path.write_bytes(msgspec.json.encode(self.boot(name, ip)))
+        settings = self.directory / 'ingress.jsonc'
+        settings.write_text('// defaults\n{}\n', encoding='utf-8')
+        output = (self.directory / f'{name}.log').open('ab')
+        self.processes.outputs.append(output)
+        self.processes.running[name] = subprocess.Popen(
+            [sys.executable, '-m', 'teaselcove.ingress', str(settings)],
+            stdout=output,
+            stderr=output,
+            env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        )
+        ready_ip, port = self.listen[name]['ready'].split(':')
+        wait_until_listening(ready_ip, int(port))
+
+    def boot(self, name: str, ip: str) -> dict[str, Any]:
+        """Returns the settings that the platform would write."""
+        peer_port = free_port(ip)
+        return {
+            'self': {
+                'nodeName': name,
+                'ip': ip,
+                'zone': self.zones[name],
+                'limits': {'memoryMb': 300, 'maxFds': 1000},
+            },
+            'network': {
+                'listenAddrs': self.listen[name],
+                'internalPortRange': [peer_port, peer_port],
+                'zones': {'a': 'r', 'b': 'r', 'c': 'r'},
+            },
+            'platform': {'platform': {'address': self.store}},
+            'terms': {'bounds': BOUNDS},
+        }
+
+    def put_configuration(self, payload: bytes) -> None:
+        """Writes a configuration as the operator does."""
+        target = f'/record?topic={CONFIGURATION_TOPIC}&key={CONFIGURATION_KEY}'
+        call(self.store, 'PUT', target, {}, payload)
+
+    def set_fault(self, address: str, fault: Any) -> None:
+        """Changes what is wrong with the store or a backend server."""
+        call(address, 'PUT', '/fault', {}, msgspec.json.encode(fault))
+
+    def report(self, address: str) -> dict[str, Any]:
+        """Returns what a stand-in has seen."""
+        _, _, body = call(address, 'GET', '/report', {})
+        return json.loads(body)
+
+    def resolve(self, host: str, zone: str) -> list[str]:
+        """Returns which hosts a caller of a zone should use."""
+        target = f'/resolve?name=jobs.example&region=r&zone={zone}'
+        address = self.listen[host]['directoryAddr']
+        _, _, body = call(address, 'GET', target, {})
+        return json.loads(body)['addresses']
+
+    def is_ready(self, host: str) -> bool:
+        """Returns whether a host says that it is ready."""
+        status, _, _ = call(self.listen[host]['ready'], 'GET', '/readyz', {})
+        return status == 200
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        self.processes.stop_all()
+
+
+def call(
+    address: str,
+    method: str,
+    target: str,
+    headers: dict[str, str],
+    body: bytes | None = None,
+) -> tuple[int, dict[str, str], bytes]:
+    """Returns status, headers and body of an answer."""
+    ip, port = address.split(':')
+    connection = http.client.HTTPConnection(
+        ip, int(port), timeout=CALL_TIMEOUT_S
+    )
+    try:
+        connection.request(method, target, body, headers)
+        response = connection.getresponse()
+        pairs = {name.lower(): text for name, text in response.getheaders()}
+        return response.status, pairs, response.read()
+    finally:
+        connection.close()
--- a/teaselcove/commands/main.py
+++ b/teaselcove/commands/main.py
@@ -4,9 +4,15 @@
 
 import fire
 
-from teaselcove.commands import changes, keyring, measure, status
+from teaselcove.commands import (
+    changes,
+    explain,
+    keyring,
+    measure,
+    status,
+)
 from teaselcove.commands.output import ExitCode, stop
-from teaselcove.errors import FieldError
+from teaselcove.errors import FieldError, SettingsError
 
 
 def serve(settings: str) -> None:
@@ -20,6 +26,17 @@
     daemon.serve(Path(str(settings)))
 
 
+def ingress(settings: str) -> None:
+    """Runs a host on the users' platform.
+
+    Args:
+        settings: File with the host's own settings.
+    """
+    from teaselcove.ingress import daemon  # noqa: WPS433
+
+    daemon.serve(Path(str(settings)))
+
+
 COMMANDS = {
     'validate': changes.validate,
     'plan': changes.plan,
@@ -29,6 +46,8 @@
     'keys': {'issue': keyring.issue, 'withdraw': keyring.withdraw},
     'measure': measure.run_measure,
     'serve': serve,
+    'ingress': ingress,
+    'explain': explain.explain,
 }
 
 
@@ -36,5 +55,5 @@
     """Runs the command that the arguments name."""
     try:
         fire.Fire(COMMANDS, name='teaselcove')
-    except FieldError as error:
+    except (FieldError, SettingsError) as error:
         stop(ExitCode.INVALID, str(error))
--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -7,24 +7,31 @@
 to work; a failure there costs a second attempt from the budget.
 """
 
-import bisect
-
 import msgspec
 
 from teaselcove.ids import BackendServerId, Instant, ServiceId
 from teaselcove.ingress.discovery import KnownServer
-from teaselcove.ingress.health import FIRST_LATENCY_S, Condition
+from teaselcove.ingress.health import Condition
 from teaselcove.ingress.kernel import ingress_services
 from teaselcove.kernel import Kernel
 
-# Cost of a server in another availability zone relative to one nearby. Small,
-# since a slot that is free matters more than a millisecond.
-OTHER_ZONE_COST = 1.2
-# A server that has just started works about this many times slower.
-COLD_COST = 2
-# Steps of the time since a server's last success, in seconds: a difference
-# below a step does not count against load.
-SILENCE_STEPS_S = (0.25, 0.5, 1, 2)
+# All costs are shares of a request that are lost on average.
+# A server fails for some seconds about each 9 s, and then most requests; so
+# with each second without a success the risk grows by this share.
+RISK_PER_SECOND = 0.08
+MAX_RISK = 0.3
+# Traffic between availability zones costs about as much as this share of a
+# request's worth.
+OTHER_ZONE_COST = 0.04
+# Slots in use make an answer slower.
+LOAD_COST = 0.05
+# A request that has to wait at the server for another one to end.
+FULL_COST = 0.2
+# Each multiple of the usual service time of the service.
+SLOW_COST = 0.06
+MAX_SLOW_COST = 0.5
+# A server that has just started works about twice as slowly.
+COLD_COST = 0.1
 # A server without a success for this long is to be tested again.
 UNTESTED_S = 1
 # Share of a service's servers that should be known to work.
@@ -84,16 +91,29 @@
         limit = known.server.slots + WAITING_AT_SERVER
         return self.load(known.server.id) < limit
 
-    def cost(self, known: KnownServer, now: Instant) -> float:
-        """Returns the expected wait at a server, in relative terms."""
-        record = self.kernel.service('health').record(known.server.id)
-        latency = record.latency or FIRST_LATENCY_S
-        load = (self.load(known.server.id) + 1) / known.server.slots
-        cost = latency * (1 + load)
+    def cost(self, known: KnownServer, usual: float, now: Instant) -> float:
+        """Returns what a request at a server loses on average.
+
+        Args:
+            known: The server.
+            usual: Usual service time of its service in seconds.
+            now: Present time.
+        """
+        name = known.server.id
+        health = self.kernel.service('health')
+        cost = min(MAX_RISK, RISK_PER_SECOND * health.silence(name, now))
+        load = self.load(name)
+        cost += LOAD_COST * load / known.server.slots
+        if load >= known.server.slots:
+            cost += FULL_COST
+        latency = health.record(name).latency
+        if latency is not None:
+            slowness = SLOW_COST * (latency / usual - 1)
+            cost += max(-SLOW_COST, min(MAX_SLOW_COST, slowness))
         if known.server.zone != self.kernel.settings.zone:
-            cost *= OTHER_ZONE_COST
+            cost += OTHER_ZONE_COST
         if now < known.warm_at:
-            cost *= COLD_COST
+            cost += COLD_COST
         return cost
 
     def pick(
@@ -178,7 +198,7 @@
         open_servers: list[KnownServer],
         now: Instant,
     ) -> Pick | None:
-        """Returns the cheapest server of the best condition with room.
+        """Returns the server of the best condition with room.
 
         A server that is out is chosen only if all are out: while another one
         lives, a request waits for its slot.
@@ -194,10 +214,16 @@
                 for known in usable
             )
             if wanted and not others_live:
-                chosen = min(wanted, key=lambda item: self.rank(item, now))
-                return self.picked(chosen, trial=False)
+                return self.picked(self.cheapest(wanted, now), trial=False)
         return None
 
+    def cheapest(self, wanted: list[KnownServer], now: Instant) -> KnownServer:
+        """Returns the server with the lowest cost; of equals any."""
+        health = self.kernel.service('health')
+        usual = health.usual_latency(wanted[0].service)
+        self.kernel.random.shuffle(wanted)
+        return min(wanted, key=lambda item: self.cost(item, usual, now))
+
     def effective(self, known: KnownServer, now: Instant) -> Condition:
         """Returns the condition that counts for a request that runs once."""
         health = self.kernel.service('health')
@@ -205,22 +231,6 @@
             return Condition.WELL
         return health.condition(known.server.id)
 
-    def rank(
-        self, known: KnownServer, now: Instant
-    ) -> tuple[bool, int, float, float]:
-        """Returns the order among servers; equals in random order.
-
-        A free slot comes first, then a recent success, then the cost.
-        """
-        name = known.server.id
-        silence = self.kernel.service('health').silence(name, now)
-        return (
-            self.load(name) >= known.server.slots,
-            bisect.bisect(SILENCE_STEPS_S, silence),
-            self.cost(known, now),
-            self.kernel.random.random(),
-        )
-
     def picked(self, known: KnownServer, trial: bool) -> Pick:
         """Returns the choice with what it was based on."""
         name = known.server.id
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import Any
 
-from teaselcove import logs
 from teaselcove.errors import (
     AppendUnknownError,
     CodecError,
@@ -24,6 +23,7 @@
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.kernel import KernelSettings, kernel_settings
 from teaselcove.ingress.listener import Listener
+from teaselcove.ingress.log_lines import StructuredLog
 from teaselcove.ingress.readout import Readout
 from teaselcove.ingress.requests import Requests
 from teaselcove.ingress.server import CallerEndpoint, OwnEndpoint
@@ -52,6 +52,8 @@
 REGISTER_PAUSE_S = 0.25
 RETRY_S = 0.3
 MAX_BODY_BYTES = 1024 * 1024
+# Time for the last log lines when the process stops.
+LOG_CLOSE_S = 0.2
 
 
 class IngressDaemon:
@@ -61,8 +63,11 @@
         draining: Whether the process was asked to stop.
     """
 
-    def __init__(self, boot: Boot, settings: IngressSettings) -> None:
+    def __init__(
+        self, boot: Boot, settings: IngressSettings, lines: StructuredLog
+    ) -> None:
         self.boot = boot
+        self.lines = lines
         self.settings = settings
         self.kernel = services.build(
             kernel_settings(boot, settings), secrets.randbits(SEED_BITS)
@@ -138,6 +143,7 @@
                 'backend_connections_opened': self.pool.opened,
                 'store_calls': sum(self.store.calls.values()),
                 'store_failures': self.store.failures,
+                'log_lines_left_out': self.lines.handler.total_left_out,
             }
         )
 
@@ -302,10 +308,17 @@
     """
     settings = load_settings(path)
     boot = load_boot(settings_path())
-    logs.set_up(settings.log)
-    asyncio.run(run(boot, settings))
+    lines = StructuredLog(
+        settings.log, settings.log_lines_per_second, boot.host
+    )
+    try:
+        asyncio.run(run(boot, settings, lines))
+    finally:
+        lines.close(LOG_CLOSE_S)
 
 
-async def run(boot: Boot, settings: IngressSettings) -> None:
+async def run(
+    boot: Boot, settings: IngressSettings, lines: StructuredLog
+) -> None:
     """Runs a host."""
-    await IngressDaemon(boot, settings).run()
+    await IngressDaemon(boot, settings, lines).run()
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -230,6 +230,7 @@
                 log.warning('paused')
             if tick % ticks_per_beat == 0:
                 self.send_heartbeats(now)
+            self.kernel.service('health').check_overdue(now)
             self.send_report(now)
             tick += 1
             serving = self.was_in_use or bool(self.reported)
--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -20,15 +20,19 @@
 OUT_FAILURES = 2
 # Successes in a row after which a server is well again. At a failure rate of
 # three in four, one success would readmit it wrongly in a quarter of trials.
-RETURN_SUCCESSES = 2
+RETURN_SUCCESSES = 3
 # Pause before a suspect server is tried again; it doubles with each failure
 # in a row up to the maximum, which is below the usual length of a fault.
-TRIAL_PAUSE_S = 0.25
-MAX_TRIAL_PAUSE_S = 1
+TRIAL_PAUSE_S = 0.2
+MAX_TRIAL_PAUSE_S = 0.5
 # A server that nobody has tried for this long is tried by any request.
 FORGIVE_S = 4
 # Weight of a new latency in the moving average.
 LATENCY_GAIN = 0.2
+# An attempt is overdue after this multiple of the usual service time. One
+# call in a hundred takes five times the mean.
+OVERDUE_FACTOR = 5
+MIN_OVERDUE_S = 1
 # Assumed service time in seconds while none has been measured.
 FIRST_LATENCY_S = 0.2
 # A refused or silent connection keeps a server out for this long; it doubles
@@ -68,6 +72,15 @@
     latency: float | None = None
 
 
+class RunningAttempt(msgspec.Struct, eq=False):
+    """An attempt that has not ended."""
+
+    server: BackendServerId
+    service: ServiceId
+    started_at: Instant
+    is_overdue: bool = False
+
+
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """How an attempt at a server ended, as hosts tell each other.
 
@@ -84,12 +97,14 @@
     """Keeps a record of each server and decides who may be tried.
 
     Attributes:
+        running: Attempts that have not ended.
         news: Evidence that the other hosts have not been told.
     """
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.records: dict[BackendServerId, Record] = {}
+        self.running: set[RunningAttempt] = set()
         self.news: list[Evidence] = []
 
     def record(self, server: BackendServerId) -> Record:
@@ -129,12 +144,32 @@
     def silence(self, server: BackendServerId, now: Instant) -> float:
         """Returns the seconds since a server last completed a request."""
         record = self.records.get(server)
-        return now - (record.last_success if record else 0)
+        last = Instant(0) if record is None else record.last_success
+        return now - last
 
-    def started(self, server: BackendServerId, now: Instant) -> None:
-        """Lets no second request try a server that is not well at once."""
+    def started(
+        self, server: BackendServerId, service: ServiceId, now: Instant
+    ) -> RunningAttempt:
+        """Notes an attempt; the next test of its server has to wait."""
         record = self.record(server)
         record.trial_at = Instant(now + self.pause(record))
+        attempt = RunningAttempt(server, service, now)
+        self.running.add(attempt)
+        return attempt
+
+    def check_overdue(self, now: Instant) -> None:
+        """Takes silence for a failure of the path, once for an attempt.
+
+        A server that hangs is found before the caller's deadline.
+        """
+        for attempt in self.running:
+            if attempt.is_overdue:
+                continue
+            usual = self.usual_latency(attempt.service)
+            limit = max(MIN_OVERDUE_S, OVERDUE_FACTOR * usual)
+            if now - attempt.started_at > limit:
+                attempt.is_overdue = True
+                self.note_path_failure(attempt.server, now)
 
     def pause(self, record: Record) -> float:
         """Returns the seconds between trials of a server."""
@@ -143,10 +178,9 @@
 
     def finished(
         self,
-        server: BackendServerId,
+        attempt: RunningAttempt,
         result: AttemptResult,
         status: int | None,
-        elapsed: float,
         now: Instant,
     ) -> None:
         """Notes how an attempt ended.
@@ -154,6 +188,8 @@
         A failure that the server itself reports counts for all hosts. One of
         the path counts for this host, since others may reach the server.
         """
+        self.running.discard(attempt)
+        server = attempt.server
         record = self.record(server)
         if result is AttemptResult.COMPLETE:
             well = (status or 0) < SERVER_ERROR_STATUS
@@ -161,15 +197,15 @@
             self.news.append(Evidence(server, well))
             record.path_failures = 0
             if well:
-                self.note_latency(record, elapsed)
+                self.note_latency(record, now - attempt.started_at)
         elif result is AttemptResult.SHED:
             record.closed_until = Instant(now + SHED_PAUSE_S)
         elif result is AttemptResult.NOT_SENT:
-            self.note_path_failure(record, now)
+            self.note_path_failure(server, now)
             pause = CONNECT_PAUSE_S * record.path_failures
             record.closed_until = Instant(now + pause)
         elif result is not AttemptResult.CANCELLED:
-            self.note_path_failure(record, now)
+            self.note_path_failure(server, now)
 
     def note_latency(self, record: Record, elapsed: float) -> None:
         """Updates the moving average of the service time."""
@@ -177,25 +213,45 @@
             record.latency = elapsed
         record.latency += LATENCY_GAIN * (elapsed - record.latency)
 
-    def note_path_failure(self, record: Record, now: Instant) -> None:
+    def note_path_failure(self, server: BackendServerId, now: Instant) -> None:
         """Notes that a server could not be reached or broke off."""
+        before = self.condition(server)
+        record = self.record(server)
         record.path_failures += 1
+        record.successes = 0
         record.last_failure = now
         record.trial_at = Instant(now + self.pause(record))
+        self.log_change(server, before)
+
+    def log_change(self, server: BackendServerId, before: Condition) -> None:
+        """Writes a line if the condition of a server has changed."""
+        after = self.condition(server)
+        if after is not before:
+            record = self.record(server)
+            self.kernel.decide(
+                'condition',
+                server=server,
+                before=before.value,
+                after=after.value,
+                failures=record.failures,
+                path_failures=record.path_failures,
+            )
 
     def note(self, evidence: Evidence, now: Instant) -> None:
         """Notes an answer of a server to this host or another one."""
         record = self.record(evidence.server)
+        before = self.condition(evidence.server)
         if evidence.well:
             record.successes += 1
             record.last_success = now
             if record.successes >= RETURN_SUCCESSES:
                 record.failures = 0
-            return
-        record.successes = 0
-        record.failures += 1
-        record.last_failure = now
-        record.trial_at = Instant(now + self.pause(record))
+        else:
+            record.successes = 0
+            record.failures += 1
+            record.last_failure = now
+            record.trial_at = Instant(now + self.pause(record))
+        self.log_change(evidence.server, before)
 
     def usual_latency(self, service: ServiceId) -> float:
         """Returns the median service time of a service in seconds."""
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -187,18 +187,17 @@
             call.route.idempotent,
         )
         server = pick.known.server
+        health = self.service('health')
         started = boot_time()
+        running = health.started(server.id, call.service, started)
         end = AttemptEnd(AttemptResult.CANCELLED)
         try:
             end = await run_attempt(
                 self.pool, server, outgoing, call.time_left(started)
             )
         finally:
-            now = boot_time()
-            if not end.stale:
-                self.service('health').finished(
-                    server.id, end.result, end.status, now - started, now
-                )
+            result = AttemptResult.CANCELLED if end.stale else end.result
+            health.finished(running, result, end.status, boot_time())
             self.slots.release(pick)
         return end
 
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -15,8 +15,7 @@
     retry_window,
     vouching,
 )
-from teaselcove.ingress.kernel import KernelSettings, ingress_services
-from teaselcove.kernel import Kernel
+from teaselcove.ingress.kernel import IngressKernel, KernelSettings
 
 SERVICE_MODULES = (
     acceptance,
@@ -32,6 +31,6 @@
 )
 
 
-def build(settings: KernelSettings, seed: int) -> Kernel:
+def build(settings: KernelSettings, seed: int) -> IngressKernel:
     """Returns a kernel with all services of a host."""
-    return Kernel(settings, seed, registry=ingress_services)
+    return IngressKernel(settings, seed)
--- a/teaselcove/ingress/slots.py
+++ b/teaselcove/ingress/slots.py
@@ -94,7 +94,6 @@
             return None
         name = pick.known.server.id
         balance.started(name)
-        self.kernel.service('health').started(name, now)
         self.kernel.service('queueing').started(service, now)
         return pick
 
--- /dev/null
+++ b/tests/ingress_support.py
@@ -0,0 +1,124 @@
+"""Helpers that build the services of a host on the platform."""
+
+from typing import Any
+
+import msgspec
+
+from teaselcove.entities import Server
+from teaselcove.ids import Instant
+from teaselcove.ingress import services
+from teaselcove.ingress.entities import HostRecord, ServerEntry
+from teaselcove.ingress.kernel import KernelSettings
+from teaselcove.ingress.settings import IngressSettings
+from teaselcove.kernel import Kernel
+from teaselcove.platform.boot import Bounds
+from teaselcove.platform.records import decode_configuration
+
+ZONES = ('a', 'b', 'c')
+BOUNDS = Bounds(
+    revoke=5,
+    drain=2,
+    grace=6,
+    quota_window=5,
+    quota_overage=0.1,
+    quota_slack=20,
+    retry_ratio=0.2,
+    retry_window=10,
+    retry_slack=60,
+    floor_share=0.7,
+)
+KEY = 'key-of-village'
+
+
+def host_record(name: str, zone: str = 'a', started_ms: int = 0) -> HostRecord:
+    """Returns the record of a host."""
+    return HostRecord(
+        name, zone, f'127.0.0.1:{name}', f'127.0.1.1:{name}', started_ms
+    )
+
+
+def make_kernel(
+    host: str = 'host-1', zone: str = 'a', seed: int = 1, **settings: Any
+) -> Kernel:
+    """Returns the services of a host that started at time 0."""
+    kernel = services.build(
+        KernelSettings(host, zone, ZONES, BOUNDS, IngressSettings(**settings)),
+        seed,
+    )
+    kernel.service('members').start(host_record(host, zone), Instant(0))
+    return kernel
+
+
+def configuration(version: int = 1, **changes: Any) -> bytes:
+    """Returns the record of a configuration with two routes."""
+    document: dict[str, Any] = {
+        'version': f'r{version}',
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 1048576,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [
+            {
+                'name': 'village',
+                'apiKeys': [KEY],
+                'ratePerS': 60,
+                'burst': 30,
+            }
+        ],
+        'listeners': [
+            {
+                'host': 'jobs.example',
+                'rules': [
+                    rule('look-up', 'safe', '/read/'),
+                    rule('booking', 'unsafe', '/write/'),
+                ],
+            }
+        ],
+        'clusters': [{'name': 'job', 'maxConnections': 390}],
+    }
+    document.update(changes)
+    return msgspec.json.encode(document)
+
+
+def rule(name: str, kind: str, prefix: str, **changes: Any) -> dict[str, Any]:
+    """Returns a route as it stands in a configuration."""
+    action = {'service': 'job', 'timeoutMs': 2000, 'maxAttempts': 2}
+    action.update(changes)
+    return {
+        'name': name,
+        'routeType': kind,
+        'targetLatencyMs': 600,
+        'priority': 1,
+        'anonymous': False,
+        'match': {'pathPrefix': prefix},
+        'action': action,
+    }
+
+
+def adopt(kernel: Kernel, payload: bytes, now: float = 0) -> bool:
+    """Puts a configuration in force that the store has just confirmed."""
+    catalog = kernel.service('catalog')
+    changed = catalog.adopt(decode_configuration(payload))
+    catalog.confirm(Instant(now))
+    return changed
+
+
+def entry(name: str, zone: str = 'a', **changes: Any) -> ServerEntry:
+    """Returns the entry of a backend server of the service `job`."""
+    server = Server(name, f'127.0.2.1:{len(name)}', zone, slots=3)
+    fields = {'leaving': False, 'warmup_left': 0, 'started_ms': 1}
+    fields.update(changes)
+    return ServerEntry(server, 'job', **fields)
+
+
+def add_servers(kernel: Kernel, count: int, now: float = 0) -> list[str]:
+    """Lets the host know servers; returns their ids."""
+    names = [f's{index}' for index in range(count)]
+    discovery = kernel.service('discovery')
+    for offset, name in enumerate(names):
+        zone = ZONES[offset % len(ZONES)]
+        discovery.note(entry(name, zone), offset, Instant(now))
+    discovery.confirm(Instant(now))
+    return names
--- /dev/null
+++ b/tests/test_ingress_connection.py
@@ -0,0 +1,262 @@
+"""Tests of answers that backend servers spoil, over real sockets."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from teaselcove.entities import Server
+from teaselcove.events import AttemptResult
+from teaselcove.ingress.backend import (
+    AttemptEnd,
+    BackendPool,
+    OutgoingRequest,
+    request_bytes,
+    run_attempt,
+)
+from teaselcove.proxy import CallerRequest
+
+IP = '127.0.0.1'
+MAX_ANSWER = 100_000
+SIGNED = b'Attempt-Id: a1\r\nResponse-Signature: s\r\n'
+WHOLE = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'Content-Length: 2\r\n\r\nok'
+LATE = WHOLE.replace(b'a1', b'a0')
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def outgoing(
+    attempt_id: str = 'a1', body: bytes = b'', method: str = 'GET'
+) -> OutgoingRequest:
+    """Returns a request."""
+    headers = (('host', 'jobs.example'), ('attempt-id', attempt_id))
+    request = CallerRequest(method, '/read/1?x=', headers, body)
+    return OutgoingRequest(request, attempt_id, 'village', idempotent=True)
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    """Reads the head of a request."""
+    return await reader.readuntil(b'\r\n\r\n')
+
+
+def answering(*answers: bytes, close: bool = False) -> Script:
+    """Returns a server that answers each request with the next bytes."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for answer in answers:
+            await read_head(reader)
+            writer.write(answer)
+            await writer.drain()
+        if close:
+            writer.close()
+        else:
+            await reader.read()
+            writer.close()
+
+    return script
+
+
+def reset_after(answer: bytes) -> Script:
+    """Returns a server that resets the connection after some bytes."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await read_head(reader)
+        writer.write(answer)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        sock = writer.get_extra_info('socket')
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    return script
+
+
+def play(
+    script: Script, *requests: OutgoingRequest, time_left: float = 1
+) -> list[AttemptEnd]:
+    """Sends requests to a scripted server, one after the other."""
+
+    async def run() -> list[AttemptEnd]:
+        listener = await asyncio.start_server(script, IP, 0)
+        port = listener.sockets[0].getsockname()[1]
+        server = Server('i-1', f'{IP}:{port}', 'a')
+        pool = BackendPool(IP, MAX_ANSWER)
+        ends = []
+        for request in requests:
+            ends.append(await run_attempt(pool, server, request, time_left))
+            await asyncio.sleep(0.02)
+        pool.close()
+        listener.close()
+        return ends
+
+    return asyncio.run(run())
+
+
+class TestAnswers:
+    """Whole answers in every framing."""
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            WHOLE,
+            b'HTTP/1.1 100 Continue\r\n\r\n' + WHOLE,
+            b'HTTP/1.1 200 OK\r\n'
+            + SIGNED
+            + b'Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n',
+        ],
+    )
+    def test_framed(self, answer: bytes) -> None:
+        """Guards against answers that are read wrongly."""
+        (end,) = play(answering(answer), outgoing())
+        assert end.result is AttemptResult.COMPLETE
+        assert (end.answer.body, end.answer.status) == (b'ok', 200)
+
+    def test_ends_with_connection(self) -> None:
+        """Guards against refusing an answer without a length."""
+        answer = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'\r\nok'
+        (end,) = play(answering(answer, close=True), outgoing())
+        assert (end.result, end.answer.body) == (AttemptResult.COMPLETE, b'ok')
+
+    def test_without_length_and_reset(self) -> None:
+        """Guards against a cut answer that looks whole."""
+        answer = b'HTTP/1.1 200 OK\r\n' + SIGNED + b'\r\nok'
+        (end,) = play(reset_after(answer), outgoing())
+        assert end.result is AttemptResult.BROKEN
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            b'',
+            b'HTTP/1.1 200 OK\r\n' + SIGNED,
+            WHOLE[:-1],
+            b'HTTP/1.1 200 OK\r\n'
+            + SIGNED
+            + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+            b'not http at all\r\n\r\n',
+        ],
+    )
+    def test_cut_short(self, answer: bytes) -> None:
+        """Guards against half an answer that is passed on."""
+        (end,) = play(answering(answer, close=True), outgoing())
+        assert end.result is AttemptResult.BROKEN
+
+    def test_too_large(self) -> None:
+        """Guards against answers larger than the memory."""
+        size = MAX_ANSWER + 1
+        head = b'HTTP/1.1 200 OK\r\n' + SIGNED
+        length = b'Content-Length: %d\r\n\r\n' % size
+        (end,) = play(answering(head + length + b'x' * size), outgoing())
+        assert end.result is AttemptResult.BROKEN
+
+    def test_silence(self) -> None:
+        """Guards against waiting for ever."""
+        (end,) = play(answering(b''), outgoing(), time_left=0.1)
+        assert end.result is AttemptResult.TIMED_OUT
+
+
+class TestCrossedAnswers:
+    """Answers that belong to another request."""
+
+    def test_extra_answer(self) -> None:
+        """Guards against a second answer given to the next request."""
+        script = answering(WHOLE + LATE)
+        first, second = play(script, outgoing('a1'), outgoing('a2'))
+        assert first.result is AttemptResult.COMPLETE
+        assert second.result is not AttemptResult.COMPLETE
+
+    def test_late_answer_comes_first(self) -> None:
+        """Guards against the answer to an earlier request."""
+        own = WHOLE.replace(b'ok', b'me')
+        (end,) = play(answering(LATE + own), outgoing())
+        assert end.answer.body == b'me'
+
+    def test_only_a_late_answer(self) -> None:
+        """Guards against taking a foreign answer for lack of the own one."""
+        (end,) = play(answering(LATE, close=True), outgoing())
+        assert end.result is AttemptResult.BROKEN
+
+    def test_unsolicited_bytes(self) -> None:
+        """Guards against bytes that arrive between two requests."""
+        script = answering(WHOLE + b'HTTP/1.1 200 OK\r\nConte')
+        first, second = play(script, outgoing('a1'), outgoing('a1'))
+        assert first.answer.body == b'ok'
+        assert second.result is not AttemptResult.BROKEN
+
+    def test_answer_without_id(self) -> None:
+        """Guards against an answer that cannot be told from a late one."""
+        answer = WHOLE.replace(b'Attempt-Id: a1\r\n', b'')
+        (end,) = play(answering(answer), outgoing())
+        assert end.result is AttemptResult.MISMATCHED
+
+
+class TestStatements:
+    """What servers say of a request that has not run."""
+
+    @pytest.mark.parametrize(
+        ('answer', 'result'),
+        [
+            (
+                b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\n'
+                b'Content-Length: 0\r\n\r\n',
+                AttemptResult.SHED,
+            ),
+            (
+                b'HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n',
+                AttemptResult.MISDIRECTED,
+            ),
+            (
+                b'HTTP/1.1 503 X\r\n' + SIGNED + b'Content-Length: 0\r\n\r\n',
+                AttemptResult.COMPLETE,
+            ),
+        ],
+    )
+    def test_statement(self, answer: bytes, result: AttemptResult) -> None:
+        """Guards against a 503 that is taken for "not run"."""
+        (end,) = play(answering(answer), outgoing())
+        assert end.result is result
+
+    def test_refused_connection(self) -> None:
+        """Guards against an unknown outcome where nothing was sent."""
+        with socket.socket() as probe:
+            probe.bind((IP, 0))
+            address = f'{IP}:{probe.getsockname()[1]}'
+        pool = BackendPool(IP, MAX_ANSWER)
+        server = Server('i-1', address, 'a')
+        end = asyncio.run(run_attempt(pool, server, outgoing(), 1))
+        assert end.result is AttemptResult.NOT_SENT
+
+
+class TestRequests:
+    """What a server gets."""
+
+    def test_head(self) -> None:
+        """Guards against a changed target or a missing header."""
+        sent = request_bytes(outgoing(body=b'abc', method='POST'), 'i-1', 0.25)
+        head, _, body = sent.partition(b'\r\n\r\n')
+        lines = head.decode().split('\r\n')
+        assert lines[0] == 'POST /read/1?x= HTTP/1.1'
+        assert 'deadline-ms: 250' in lines
+        assert 'expect-instance: i-1' in lines
+        assert 'tenant: village' in lines
+        assert 'content-length: 3' in lines
+        assert body == b'abc'
+
+    def test_connection_is_kept(self) -> None:
+        """Guards against a new connection for each request."""
+        second = WHOLE.replace(b'a1', b'a2')
+        script = answering(WHOLE, second)
+        ends = play(script, outgoing('a1'), outgoing('a2'))
+        assert [end.result for end in ends] == [AttemptResult.COMPLETE] * 2
+
+    def test_kept_connection_that_breaks(self) -> None:
+        """Guards against blame for a server that closes idle connections."""
+        script = answering(WHOLE, b'', close=True)
+        first, second = play(script, outgoing('a1'), outgoing('a2'))
+        assert first.result is AttemptResult.COMPLETE
+        assert (second.result, second.stale) == (AttemptResult.BROKEN, True)
--- /dev/null
+++ b/tests/test_ingress_process.py
@@ -0,0 +1,209 @@
+"""Tests of hosts on the platform as real processes."""
+
+import itertools
+import signal
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.backend import Fault
+from standins.log_store import StoreFault
+from standins.platform_deployment import PlatformDeployment, call
+from tests.ingress_support import KEY, configuration
+
+NETWORK = 23
+WAIT_S = 15
+POLL_S = 0.05
+
+# One worker runs all tests that share the deployment.
+pytestmark = pytest.mark.xdist_group('platform')
+attempt_ids = itertools.count(1)
+versions = itertools.count(2)
+
+
+@pytest.fixture(scope='module')
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[PlatformDeployment]:
+    """A deployment that the tests of this module share."""
+    directory: Path = tmp_path_factory.mktemp('platform')
+    deployment = PlatformDeployment(directory, NETWORK, hosts=4, servers=3)
+    try:
+        deployment.start(configuration())
+        wait_for(lambda: all(map(deployment.is_ready, deployment.names)))
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+def wait_for(holds: Callable[[], bool]) -> None:
+    """Waits until a condition holds; the bound only ends a broken run."""
+    deadline = time.monotonic() + WAIT_S
+    while not holds():
+        assert time.monotonic() < deadline, 'the condition never held'
+        time.sleep(POLL_S)
+
+
+def send(
+    deployment: PlatformDeployment,
+    host: str,
+    path: str = '/read/1',
+    method: str = 'GET',
+    key: str = KEY,
+) -> tuple[int, dict[str, str], bytes, str]:
+    """Sends a caller's request; returns the answer and the request's id."""
+    attempt_id = f'a{next(attempt_ids)}'
+    headers = {
+        'Host': 'jobs.example',
+        'Attempt-Id': attempt_id,
+        'Deadline-Ms': '2000',
+        'Authorization': f'Bearer {key}',
+    }
+    address = deployment.listen[host]['frontendAddr']
+    body = b'x' * 100 if method == 'POST' else None
+    answer = call(address, method, path, headers, body)
+    return (*answer, attempt_id)
+
+
+class TestPath:
+    """A caller's way from its question to its answer."""
+
+    def test_resolve_and_call(self, deployment: PlatformDeployment) -> None:
+        """Guards against a path that is broken anywhere."""
+        own = deployment.listen['host-0']['frontendAddr']
+        wait_for(lambda: own in deployment.resolve('host-0', 'a'))
+        status, headers, body, attempt_id = send(deployment, 'host-0')
+        assert status == 200
+        assert headers['attempt-id'] == attempt_id
+        assert headers['response-signature'].startswith('signed-by')
+        assert b'/read/1' in body
+
+    def test_every_host_serves(self, deployment: PlatformDeployment) -> None:
+        """Guards against hosts that fail callers with an old answer."""
+        for host in deployment.names:
+            status, *_ = send(deployment, host, '/write/1', 'POST')
+            assert status == 200
+
+    def test_key_stays_here(self, deployment: PlatformDeployment) -> None:
+        """Guards against a backend server that sees a caller's key."""
+        send(deployment, 'host-1')
+        reports = [
+            deployment.report(address)
+            for address in deployment.servers.values()
+        ]
+        organisations = set().union(
+            *(report['organisations'] for report in reports)
+        )
+        assert organisations == {'village'}
+
+    def test_bad_key_and_route(self, deployment: PlatformDeployment) -> None:
+        """Guards against wrong refusals."""
+        assert send(deployment, 'host-0', key='no')[0] == 401
+        assert send(deployment, 'host-0', '/none/')[0] == 404
+
+
+class TestFaults:
+    """Promises while something fails."""
+
+    def test_booking_runs_once(self, deployment: PlatformDeployment) -> None:
+        """Guards against a second run of a request that may run once."""
+        for address in deployment.servers.values():
+            deployment.set_fault(address, Fault(truncate_share=0.5))
+        try:
+            sent = [
+                send(deployment, 'host-0', '/write/2', 'POST')
+                for _ in range(30)
+            ]
+        finally:
+            for address in deployment.servers.values():
+                deployment.set_fault(address, Fault())
+        runs: dict[str, int] = {}
+        for address in deployment.servers.values():
+            for name, count in deployment.report(address)['runs'].items():
+                runs[name] = runs.get(name, 0) + count
+        for status, _, _, attempt_id in sent:
+            assert runs.get(attempt_id, 0) <= 1
+            if status in {429, 503}:
+                assert attempt_id not in runs
+        assert {status for status, *_ in sent} >= {200, 502}
+
+    def test_new_configuration(self, deployment: PlatformDeployment) -> None:
+        """Guards against a host that misses a version, or a late key."""
+        other = {
+            'name': 'town',
+            'apiKeys': ['key-of-town'],
+            'ratePerS': 0,
+            'burst': 0,
+        }
+        village = {
+            'name': 'village',
+            'apiKeys': [KEY],
+            'ratePerS': 60,
+            'burst': 30,
+        }
+        payload = configuration(next(versions), tenants=[village, other])
+        deployment.put_configuration(payload)
+        for host in deployment.names:
+            wait_for(
+                lambda name=host: (
+                    send(deployment, name, key='key-of-town')[0] == 200
+                )
+            )
+        payload = configuration(next(versions), tenants=[village])
+        deployment.put_configuration(payload)
+        for host in deployment.names:
+            wait_for(
+                lambda name=host: (
+                    send(deployment, name, key='key-of-town')[0] == 401
+                )
+            )
+
+    def test_store_away(self, deployment: PlatformDeployment) -> None:
+        """Guards against keys that are served on old beliefs for ever."""
+        deployment.set_fault(deployment.store, StoreFault(status=503))
+        try:
+            assert send(deployment, 'host-0')[0] == 200
+            wait_for(lambda: send(deployment, 'host-0')[0] == 503)
+        finally:
+            deployment.set_fault(deployment.store, StoreFault())
+        wait_for(lambda: send(deployment, 'host-0')[0] == 200)
+
+    def test_server_leaves(self, deployment: PlatformDeployment) -> None:
+        """Guards against work for a server that has said it leaves."""
+        name, address = next(iter(deployment.servers.items()))
+        deployment.set_fault(address, Fault(leaving=True))
+        try:
+            time.sleep(2.5)
+            before = sum(deployment.report(address)['runs'].values())
+            for _ in range(12):
+                send(deployment, 'host-0')
+            after = sum(deployment.report(address)['runs'].values())
+        finally:
+            deployment.set_fault(address, Fault())
+        assert (name, after) == (name, before)
+
+    def test_forgotten_history(self, deployment: PlatformDeployment) -> None:
+        """Guards against a host that stops at records that are gone."""
+        for topic in ('keyed.op', 'keyed.servers'):
+            target = f'/log-trim?topic={topic}&before=1'
+            call(deployment.store, 'POST', target, {})
+        payload = configuration(next(versions))
+        deployment.put_configuration(payload)
+        assert send(deployment, 'host-0')[0] == 200
+
+
+class TestStop:
+    """The end of a process."""
+
+    def test_graceful(self, deployment: PlatformDeployment) -> None:
+        """Guards against a shutdown that cuts or refuses requests."""
+        process = deployment.processes.running['host-3']
+        process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not deployment.is_ready('host-3'))
+        status, headers, _, _ = send(deployment, 'host-3')
+        assert (status, headers['connection']) == (200, 'close')
+        own = deployment.listen['host-3']['frontendAddr']
+        wait_for(lambda: own not in deployment.resolve('host-0', 'a'))
+        assert process.wait(WAIT_S) == 0
