--- a/teaselcove/ingress/slots.py
+++ b/teaselcove/ingress/slots.py
@@ -69,9 +69,13 @@
             refusal = not_run(Reason.QUEUE_FULL, after)
             raise RefusedError(refusal) from error
         finally:
-            queueing.remove(waiting)
-            self.futures.pop(waiting, None)
-            self.calls.pop(waiting, None)
+            self.forget(waiting)
+
+    def forget(self, waiting: Waiting) -> None:
+        """Drops a request that waits no longer."""
+        self.kernel.service('queueing').remove(waiting)
+        self.futures.pop(waiting, None)
+        self.calls.pop(waiting, None)
 
     def pick(
         self, call: Call, now: Instant, hedge: bool = False
@@ -94,7 +98,6 @@
             return None
         name = pick.known.server.id
         balance.started(name)
-        self.kernel.service('health').started(name, now)
         self.kernel.service('queueing').started(service, now)
         return pick
 
