--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # Every target works on a fresh clone with Python 3.11 and pip.
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-SOURCES := teaselcove tests standins
+SOURCES := teaselcove tests standins soak
 
-.PHONY: venv lint format unit test demo bench example slopes soak
+.PHONY: venv lint format unit test demo bench example slopes soak fault-soak
 
 $(VENV)/installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -50,3 +50,8 @@
 		tests/test_escrow.py tests/test_convergence.py \
 		tests/test_claims_properties.py tests/test_floors.py \
 		tests/test_retries.py
+
+# Runs real processes under random faults: make fault-soak SEED=7.
+SECONDS ?= 15
+fault-soak: venv
+	$(PYTHON) -m soak.run $(SEED) --seconds=$(SECONDS)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on real processes, with checks of the promises."""
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -35,6 +35,8 @@
     Attributes:
         zones: Availability zone of each host by name.
         listen: Addresses of each host by their use.
+        advertised: Addresses at which hosts reach servers, if not directly.
+        stores: Addresses at which hosts reach the store, if not directly.
     """
 
     def __init__(
@@ -49,6 +51,8 @@
             name: 'abc'[index % 3] for index, name in enumerate(self.names)
         }
         self.listen: dict[str, dict[str, str]] = {}
+        self.advertised: dict[str, str] = {}
+        self.stores: dict[str, str] = {}
         self.servers = {
             f'server-{index}': self.address(100 + index, 1)
             for index in range(servers)
@@ -74,7 +78,14 @@
         """Starts a backend server."""
         ip, port = address.split(':')
         self.processes.start(
-            name, 'standins.platform_server', ip, port, name, zone, self.store
+            name,
+            'standins.platform_server',
+            ip,
+            port,
+            name,
+            zone,
+            self.store,
+            f'--advertised={self.advertised.get(name, address)}',
         )
         wait_until_listening(ip, int(port))
 
@@ -82,10 +93,11 @@
         """Starts a host and waits until it listens."""
         last = 1 + self.names.index(name)
         ip = f'127.0.{self.network}.{last}'
-        self.listen[name] = {
-            use: f'{ip}:{free_port(ip)}'
-            for use in ('frontendAddr', 'ready', 'directoryAddr')
-        }
+        if name not in self.listen:
+            self.listen[name] = {
+                use: f'{ip}:{free_port(ip)}'
+                for use in ('frontendAddr', 'ready', 'directoryAddr')
+            }
         path = self.directory / f'{name}.json'
         path.write_bytes(msgspec.json.encode(self.boot(name, ip)))
         settings = self.directory / 'ingress.jsonc'
@@ -116,7 +128,9 @@
                 'internalPortRange': [peer_port, peer_port],
                 'zones': {'a': 'r', 'b': 'r', 'c': 'r'},
             },
-            'platform': {'platform': {'address': self.store}},
+            'platform': {
+                'platform': {'address': self.stores.get(name, self.store)}
+            },
             'terms': {'bounds': BOUNDS},
         }
 
--- a/teaselcove/commands/explain.py
+++ b/teaselcove/commands/explain.py
@@ -149,16 +149,18 @@
     return [f'{count:6} {cause}' for cause, count in causes.most_common()]
 
 
-def explain(*words: str, summary: bool = False) -> None:
+def explain(*words: str, summary: bool | str = False) -> None:
     """Prints what happened to a request, or all causes with --summary.
 
     Args:
         words: The id of a request, then files with logs; with --summary
             only files.
-        summary: Counts the requests by cause.
+        summary: Counts the requests by cause. The command line gives it the
+            word that follows, which is a file.
     """
     if summary:
-        reading = Reading(words)
+        first = () if summary is True else (str(summary),)
+        reading = Reading((*first, *words))
         lines = count_causes(reading)
     else:
         reading = Reading(words[1:])
--- a/teaselcove/ingress/calls.py
+++ b/teaselcove/ingress/calls.py
@@ -6,6 +6,7 @@
 
 from teaselcove.errors import Outcome, Reason, Refusal, not_run
 from teaselcove.events import AttemptResult
+from teaselcove.http_connection import RawAnswer
 from teaselcove.http_fields import CallerRequest
 from teaselcove.ids import BackendServerId, Instant, ServiceId
 from teaselcove.ingress.entities import IngressOrganisation, IngressRoute
@@ -50,6 +51,8 @@
         not_run: Attempts that provably did not run.
         exclude: Servers that have failed it.
         retries: Second attempts, of any result.
+        answer: The latest answer of a server, which is given to the caller
+            if no better one comes.
     """
 
     attempt_id: str
@@ -65,6 +68,7 @@
     exclude: frozenset[BackendServerId] = frozenset()
     retries: int = 0
     waited: float = 0
+    answer: RawAnswer | None = None
 
     @property
     def priority(self) -> int:
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -10,7 +10,7 @@
 
 from teaselcove import errors
 from teaselcove.ids import ZoneName
-from teaselcove.ingress import listener, services
+from teaselcove.ingress import listener, members, services
 from teaselcove.ingress.backend import BackendPool
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import HostRecord
@@ -75,6 +75,7 @@
             boot.caller_address,
             f'{boot.ip}:{boot.peer_port}',
             int(time.time() * MS_PER_S),
+            members.capacity_of(boot.cores, boot.link_mbps),
         )
         self.readout = Readout()
         self.pool = BackendPool(boot.ip, settings.max_answer_bytes)
@@ -127,15 +128,15 @@
         """Returns counters, histograms and ages of beliefs."""
         now = boot_time()
         catalog = self.service('catalog')
-        members = self.service('members')
+        fleet = self.service('members')
         return self.readout.text(
             {
                 'configuration_version': catalog.version,
                 'configuration_age_seconds': catalog.age(now),
                 'servers_age_seconds': self.service('discovery').age(now),
                 'servers': len(self.service('discovery').servers),
-                'hosts_heard': len(members.heard_hosts(now)),
-                'in_use': int(members.is_in_use(now)),
+                'hosts_heard': len(fleet.heard_hosts(now)),
+                'in_use': int(fleet.is_in_use(now)),
                 'requests_running': len(self.requests.running),
                 'backend_connections_opened': self.pool.opened,
                 'store_calls': sum(self.store.calls.values()),
@@ -216,10 +217,10 @@
         page = await self.insist(
             lambda: self.store.newest(hosts.TOPIC, boot_time())
         )
-        members = self.service('members')
+        fleet = self.service('members')
         for item in page.records:
             try:
-                members.note_record(hosts.decode_host(item))
+                fleet.note_record(hosts.decode_host(item))
             except errors.CodecError as error:
                 log.warning(
                     'host-unreadable', extra={'figures': {'why': str(error)}}
--- a/teaselcove/ingress/entities.py
+++ b/teaselcove/ingress/entities.py
@@ -125,6 +125,7 @@
         address: IP address and port for callers.
         peer_address: IP address and port for messages between hosts.
         started_ms: Unix time of the start of its process in milliseconds.
+        capacity: Requests per second that it can serve, about.
     """
 
     host: HostId
@@ -132,6 +133,7 @@
     address: str
     peer_address: str
     started_ms: int
+    capacity: float = 0
 
 
 class KeyedRecord(msgspec.Struct, frozen=True):
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+import math
 
 import msgspec
 
@@ -23,6 +24,11 @@
 AGE_STEP_MS = 5000
 # A host that has just started waits for the heartbeats of the others.
 SETTLE_S = 0.7
+# Requests per second for each core and for each Mbit/s of the link, at about
+# half of what saturates them. A request takes some 2 ms of a core, and with its
+# answer 5 KB in and out.
+REQUESTS_PER_CORE = 250
+REQUESTS_PER_MBPS = 12
 # A gap in the host's own clock after which its beliefs are stale.
 PAUSE_S = 1
 
@@ -190,7 +196,18 @@
         return peer.heard_at is not None and now - peer.heard_at < 2 * SILENCE_S
 
 
-def rank(record: HostRecord) -> tuple[int, bytes]:
-    """Returns the order of hosts: older ones first, then by hash."""
+def capacity_of(cores: float, link_mbps: float) -> float:
+    """Returns the requests per second that a host can serve, about.
+
+    Args:
+        cores: Processor share in cores.
+        link_mbps: Speed of its link.
+    """
+    return min(cores * REQUESTS_PER_CORE, link_mbps * REQUESTS_PER_MBPS)
+
+
+def rank(record: HostRecord) -> tuple[int, int, bytes]:
+    """Returns the order of hosts: large ones, then older ones, then by hash."""
+    size = -round(math.log2(max(1, record.capacity)))
     name = hashlib.blake2b(record.host.encode(), digest_size=8).digest()
-    return record.started_ms // AGE_STEP_MS, name
+    return size, record.started_ms // AGE_STEP_MS, name
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -108,12 +108,17 @@
         await self.freshness.ensure_servers()
         step = Next.RETRY
         while step is Next.RETRY:
-            pick = await self.place(call)
+            try:
+                pick = await self.place(call)
+            except RefusedError:
+                if call.answer is None:
+                    raise
+                return call.answer
             pick, end = await self.attempt(call, pick)
             step = self.decide(call, pick, end, boot_time())
-        if step is Next.ANSWER and end.answer is not None:
-            return end.answer
-        raise RefusedError(final_refusal(call, boot_time()))
+        if call.answer is None:
+            raise RefusedError(final_refusal(call, boot_time()))
+        return call.answer
 
     def decide(
         self, call: Call, pick: Pick, end: AttemptEnd, now: Instant
@@ -213,6 +218,8 @@
             call.not_run += 1
         else:
             call.sent.append(server)
+        if end.result is AttemptResult.COMPLETE:
+            call.answer = end.answer
         failed = is_failure(end.result, end.status)
         if failed and not end.stale:
             call.exclude = call.exclude | {server}
--- a/teaselcove/ingress/tokens.py
+++ b/teaselcove/ingress/tokens.py
@@ -95,6 +95,11 @@
             self.asked.pop(name)
         if not asked.given:
             self.dry_until[name] = Instant(boot_time() + DRY_S)
+            self.kernel.decide(
+                'rate-used-up',
+                organisation=name,
+                unanswered=len(asked.missing),
+            )
         return asked.given > 0
 
     def ask(self, name: OrganisationId, now: Instant) -> Asked:
--- a/teaselcove/platform/boot.py
+++ b/teaselcove/platform/boot.py
@@ -22,6 +22,9 @@
 
     memory_mb: Positive
     max_fds: Positive
+    cpu_quota: Positive = 1
+    cpu_cores: Positive = 1
+    link_speed_mbps: Positive = 1000
 
 
 class WireSelf(msgspec.Struct, rename='camel'):
@@ -135,6 +138,8 @@
         heartbeat_interval: Seconds between heartbeats of backend servers.
         memory_bytes: Memory that the process may use.
         descriptors: Files and sockets that the process may open.
+        cores: Processor share in cores.
+        link_mbps: Speed of the machine's own link.
     """
 
     host: HostId
@@ -149,6 +154,8 @@
     heartbeat_interval: float
     memory_bytes: int
     descriptors: int
+    cores: float
+    link_mbps: float
     bounds: Bounds
 
 
@@ -201,6 +208,8 @@
         wire.platform.heartbeat_interval_ms / MS_PER_S,
         int(wire.me.limits.memory_mb * MB),
         int(wire.me.limits.max_fds),
+        wire.me.limits.cpu_quota * wire.me.limits.cpu_cores,
+        wire.me.limits.link_speed_mbps,
         Bounds(
             bounds.revoke_ms / MS_PER_S,
             bounds.drain_ms / MS_PER_S,
