Take a 421 for a server that is gone; let second attempts wait first

A retry waited behind the whole queue and was refused. Change: 421 closes a server for 5 s; retries go before others of their rank.

--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -184,10 +184,10 @@
 
     Only a server's own statement says that a request has not run.
     """
-    if answer.header(names.NOT_EXECUTED) is not None:
-        return AttemptResult.SHED
     if answer.status == MISDIRECTED_STATUS:
         return AttemptResult.MISDIRECTED
+    if answer.header(names.NOT_EXECUTED) is not None:
+        return AttemptResult.SHED
     if attempt_id and answer.header(names.ATTEMPT_ID) is None:
         return AttemptResult.MISMATCHED
     if answer.status < 500 and answer.header(names.SIGNATURE) is None:
--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -38,8 +38,10 @@
 # A refused or silent connection keeps a server out for this long; it doubles
 # with each in a row up to the maximum trial pause.
 CONNECT_PAUSE_S = 0.5
-# A server that had no slot for a request has one after about a short call.
-SHED_PAUSE_S = 0.1
+# A server that had no slot for a request has one after about a short call. One
+# whose address another server has taken is gone: its entry lapses after three
+# heartbeats of 1.5 s.
+CLOSED_PAUSES_S = {AttemptResult.SHED: 0.1, AttemptResult.MISDIRECTED: 5}
 
 
 class Condition(Enum):
@@ -192,8 +194,9 @@
         server = attempt.server
         if result is AttemptResult.COMPLETE:
             self.note_answer(attempt, status or 0, now)
-        elif result is AttemptResult.SHED:
-            self.record(server).closed_until = Instant(now + SHED_PAUSE_S)
+        elif result in CLOSED_PAUSES_S:
+            pause = CLOSED_PAUSES_S[result]
+            self.record(server).closed_until = Instant(now + pause)
         elif result is AttemptResult.NOT_SENT:
             self.note_path_failure(server, now)
             record = self.record(server)
--- a/teaselcove/ingress/queueing.py
+++ b/teaselcove/ingress/queueing.py
@@ -74,7 +74,7 @@
         self.kernel = kernel
         self.waiting: dict[ServiceId, list[Waiting]] = {}
         self.rates: dict[ServiceId, StartRate] = {}
-        self.orders = itertools.count()
+        self.orders = itertools.count(1)
 
     def offer(
         self,
@@ -82,6 +82,7 @@
         priority: int,
         start_by: Instant,
         now: Instant,
+        again: bool = False,
     ) -> Waiting | Refusal:
         """Adds a request to the queue of its service, or refuses it.
 
@@ -90,9 +91,14 @@
             priority: Rank; 0 is served first.
             start_by: Latest start that still leaves time for the answer.
             now: Present time.
+            again: Whether it has left the queue before; then it goes before
+                others of its rank, since it has used a part of its time.
         """
         queue = self.waiting.setdefault(service, [])
-        waiting = Waiting(service, priority, next(self.orders), start_by, now)
+        order = next(self.orders)
+        if again:
+            order = -order
+        waiting = Waiting(service, priority, order, start_by, now)
         place = bisect.bisect(queue, waiting.rank, key=lambda item: item.rank)
         wait = self.expected_wait(service, place, now)
         if now + wait > start_by:
--- a/teaselcove/ingress/slots.py
+++ b/teaselcove/ingress/slots.py
@@ -40,7 +40,10 @@
             if pick is not None:
                 return pick
         start_by = Instant(now + call.time_left(now) * WAIT_SHARE)
-        waiting = queueing.offer(call.service, call.priority, start_by, now)
+        again = bool(call.sent or call.not_run)
+        waiting = queueing.offer(
+            call.service, call.priority, start_by, now, again
+        )
         if isinstance(waiting, Refusal):
             raise RefusedError(waiting)
         return await self.wait(call, waiting)
--- a/tests/test_ingress_connection.py
+++ b/tests/test_ingress_connection.py
@@ -230,7 +230,7 @@
                 AttemptResult.SHED,
             ),
             (
-                raw(b'421', b'Content-Length: 0'),
+                raw(b'421', b'Not-Executed: 1', b'Content-Length: 0'),
                 AttemptResult.MISDIRECTED,
             ),
             (
--- a/tests/test_ingress_decisions.py
+++ b/tests/test_ingress_decisions.py
@@ -335,6 +335,14 @@
         assert health.condition('s0') is Condition.SUSPECT
         assert pick(kernel, False, 2.6).known.server.id == 's1'
 
+    def test_address_of_another_server(self) -> None:
+        """Guards against trying a server again that has left its address."""
+        kernel = make_kernel()
+        add_servers(kernel, 2)
+        note_end(kernel, 's0', 1, AttemptResult.MISDIRECTED, None)
+        chosen = {pick(kernel, False, 3).known.server.id for _ in range(9)}
+        assert chosen == {'s1'}
+
     def test_path_failure_is_local(self) -> None:
         """Guards against a host with a bad path that misleads others."""
         kernel = make_kernel()
@@ -464,7 +472,15 @@
         for priority in (2, 1, 2, 0):
             queueing.offer('job', priority, Instant(9), Instant(0))
         ranks = [item.rank for item in queueing.in_order('job')]
-        assert ranks == [(0, 3), (1, 1), (2, 0), (2, 2)]
+        assert ranks == [(0, 4), (1, 2), (2, 1), (2, 3)]
+
+    def test_second_attempt_goes_first(self) -> None:
+        """Guards against retries that wait behind the whole queue."""
+        queueing = make_kernel().service('queueing')
+        queueing.offer('job', 1, Instant(9), Instant(0))
+        queueing.offer('job', 1, Instant(9), Instant(0))
+        retry = queueing.offer('job', 1, Instant(9), Instant(0), again=True)
+        assert queueing.in_order('job')[0] is retry
 
     def test_hopeless_request_is_refused_at_once(self) -> None:
         """Guards against requests that wait in vain."""
