Tell forgotten connections from servers that reset requests

Change: a reset counts as forgotten only if the connection was idle, ended within 30 ms, and not twice in 2 s; a loss shortens the idle time for 10 s. Tests fail before the change.

--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -1,7 +1,6 @@
 """Runs attempts at backend servers on kept and new connections."""
 
 import asyncio
-import time
 from collections import defaultdict
 
 import msgspec
@@ -15,20 +14,21 @@
     connect,
 )
 from teaselcove.http_fields import MS_PER_S, CallerRequest
-from teaselcove.ids import BackendServerId, OrganisationId
+from teaselcove.ids import BackendServerId, Instant, OrganisationId
+from teaselcove.ingress.clock import boot_time
+from teaselcove.ingress.idle_limits import IdleLimits
 from teaselcove.platform import headers as names
 
 # Between availability zones a connection takes two milliseconds; a lost
 # opening packet is sent again after one second, so another server is sooner.
 CONNECT_TIMEOUT_S = 0.35
-# Kept connections are used up to this share of the idle time that the
-# server announced, or up to the default if it did not.
-IDLE_SHARE = 0.6
-DEFAULT_IDLE_S = 3
-# The same for requests that may run once: a connection that breaks just as
-# they are written leaves it unknown whether they ran.
-ONCE_IDLE_S = 1.5
 USER_TIMEOUT_MS = 3000
+# A connection that a server has forgotten is reset within a round trip, here
+# with a wide margin, and has been idle for a while.
+STALE_WITHIN_S = 0.03
+STALE_IDLE_S = 0.1
+# A server that does it again within this time is failing.
+STALE_APART_S = 2
 MISDIRECTED_STATUS = 421
 KEEP_ALIVE = 'keep-alive'
 
@@ -63,6 +63,8 @@
     """Kept connections to backend servers.
 
     Attributes:
+        limits: For how long they may be idle.
+        stale_at: When a server was last found to have forgotten one.
         opened: Connections opened since the start.
     """
 
@@ -72,6 +74,8 @@
         self.idle: defaultdict[BackendServerId, list[HttpConnection]] = (
             defaultdict(list)
         )
+        self.limits = IdleLimits()
+        self.stale_at: dict[BackendServerId, Instant] = {}
         self.opened = 0
 
     def take(
@@ -79,23 +83,28 @@
     ) -> HttpConnection | None:
         """Returns the kept connection that was used last, or None."""
         kept = self.idle[server]
-        now = time.monotonic()
+        now = boot_time()
         while kept:
             connection = kept.pop()
-            limit = connection.idle_limit or DEFAULT_IDLE_S
-            if not idempotent:
-                limit = min(limit, ONCE_IDLE_S)
-            if connection.is_usable and now - connection.idle_since < limit:
+            if self.is_fresh(connection, idempotent, now):
                 return connection
             connection.close()
         return None
 
+    def is_fresh(
+        self, connection: HttpConnection, idempotent: bool, now: Instant
+    ) -> bool:
+        """Returns whether a kept connection may be used."""
+        announced = connection.idle_limit
+        limit = self.limits.limit(announced, idempotent, now)
+        return connection.is_usable and now - connection.idle_since < limit
+
     def keep(self, server: BackendServerId, connection: HttpConnection) -> None:
         """Keeps a connection for the next request."""
         if not connection.is_usable:
             connection.close()
             return
-        connection.idle_since = time.monotonic()
+        connection.idle_since = boot_time()
         self.idle[server].append(connection)
 
     async def open(self, server: Server) -> HttpConnection:
@@ -114,6 +123,27 @@
             self.local_ip,
         )
 
+    def was_stale(
+        self, server: BackendServerId, connection: HttpConnection, sent: Instant
+    ) -> bool:
+        """Returns whether the server had forgotten an idle connection.
+
+        A server that resets requests looks alike, but does so again soon.
+
+        Args:
+            server: The server.
+            connection: The connection, which ended without any byte.
+            sent: When the request was sent.
+        """
+        now = boot_time()
+        idle = sent - connection.idle_since
+        lately = self.stale_at.get(server, Instant(float('-inf')))
+        if now - sent > STALE_WITHIN_S or idle < STALE_IDLE_S:
+            return False
+        self.limits.lost(idle, now)
+        self.stale_at[server] = now
+        return now - lately > STALE_APART_S
+
     def forget(self, server: BackendServerId) -> None:
         """Closes the kept connections to a server."""
         for connection in self.idle.pop(server, []):
@@ -121,10 +151,10 @@
 
     def close_idle(self) -> None:
         """Closes connections that are too old to be used again."""
-        now = time.monotonic()
+        now = boot_time()
         for server in tuple(self.idle):
             kept = self.idle.pop(server)
-            fresh = [item for item in kept if is_fresh(item, now)]
+            fresh = [item for item in kept if self.is_fresh(item, True, now)]
             for connection in set(kept).difference(fresh):
                 connection.close()
             if fresh:
@@ -136,12 +166,6 @@
             self.forget(server)
 
 
-def is_fresh(connection: HttpConnection, now: float) -> bool:
-    """Returns whether a kept connection may be used again."""
-    limit = connection.idle_limit or DEFAULT_IDLE_S
-    return connection.is_usable and now - connection.idle_since < limit
-
-
 class OutgoingRequest(msgspec.Struct, frozen=True):
     """A caller's request with what the host adds to it."""
 
@@ -175,7 +199,7 @@
     for part in (text or '').split(','):
         name, _, value = part.strip().partition('=')
         if name.lower() == 'timeout' and value.isdigit():
-            return int(value) * IDLE_SHARE
+            return int(value)
     return None
 
 
@@ -209,7 +233,7 @@
         outgoing: The request.
         time_left: Seconds that the caller waits from now on.
     """
-    started = time.monotonic()
+    started = boot_time()
     connection = pool.take(server.id, outgoing.idempotent)
     if connection is None:
         try:
@@ -217,7 +241,7 @@
         except (OSError, TimeoutError) as error:
             return AttemptEnd(AttemptResult.NOT_SENT, problem=repr(error))
     reused = connection.used > 0
-    left = time_left - (time.monotonic() - started)
+    left = time_left - (boot_time() - started)
     payload = request_bytes(outgoing, server.id, left)
     try:
         async with asyncio.timeout(left):
@@ -231,10 +255,11 @@
         return AttemptEnd(AttemptResult.TIMED_OUT, problem='no answer in time')
     except ConnectionBrokenError as error:
         connection.close()
-        stale = reused and not error.answered
+        silent = reused and not error.answered
+        stale = silent and pool.was_stale(server.id, connection, started)
         return AttemptEnd(AttemptResult.BROKEN, stale=stale, problem=str(error))
     connection.idle_limit = idle_limit(answer) or connection.idle_limit
     pool.keep(server.id, connection)
-    elapsed = time.monotonic() - started
+    elapsed = boot_time() - started
     result = classify(answer, outgoing.attempt_id)
     return AttemptEnd(result, answer, elapsed)
--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -44,6 +44,11 @@
 CLOSED_PAUSES_S = {AttemptResult.SHED: 0.1, AttemptResult.MISDIRECTED: 5}
 
 
+PATH_FAILURES = frozenset(
+    (AttemptResult.BROKEN, AttemptResult.TIMED_OUT, AttemptResult.MISMATCHED)
+)
+
+
 class Condition(Enum):
     """What a host believes of a server."""
 
@@ -194,16 +199,15 @@
         server = attempt.server
         if result is AttemptResult.COMPLETE:
             self.note_answer(attempt, status or 0, now)
-        elif result in CLOSED_PAUSES_S:
-            pause = CLOSED_PAUSES_S[result]
-            self.record(server).closed_until = Instant(now + pause)
         elif result is AttemptResult.NOT_SENT:
             self.note_path_failure(server, now)
-            record = self.record(server)
-            pause = CONNECT_PAUSE_S * record.path_failures
-            record.closed_until = Instant(now + pause)
-        elif result is not AttemptResult.CANCELLED:
+            pause = CONNECT_PAUSE_S * self.record(server).path_failures
+            self.record(server).closed_until = Instant(now + pause)
+        elif result in PATH_FAILURES:
             self.note_path_failure(server, now)
+        else:
+            pause = CLOSED_PAUSES_S.get(result, 0)
+            self.record(server).closed_until = Instant(now + pause)
 
     def note_answer(
         self, attempt: RunningAttempt, status: int, now: Instant
--- a/tests/test_ingress_decisions.py
+++ b/tests/test_ingress_decisions.py
@@ -22,6 +22,7 @@
     Condition,
     RunningAttempt,
 )
+from teaselcove.ingress.idle_limits import IdleLimits
 from teaselcove.kernel import Kernel
 from tests.ingress_support import (
     BOUNDS,
@@ -599,6 +600,27 @@
         assert share <= BOUNDS.quota_overage * organisation.rate / 8
 
 
+class TestIdleLimits:
+    """Use of kept connections."""
+
+    def test_booking_needs_a_fresh_connection(self) -> None:
+        """Guards against bookings on connections that may be gone."""
+        limits = IdleLimits()
+        announced = limits.limit(5, True, Instant(0))
+        assert limits.limit(5, False, Instant(0)) < announced < 5
+
+    def test_learns_from_losses(self) -> None:
+        """Guards against servers that forget connections early."""
+        limits = IdleLimits()
+        before = limits.limit(5, False, Instant(0))
+        limits.lost(0.4, Instant(0))
+        limits.lost(2, Instant(1))
+        learned = limits.limit(5, False, Instant(5))
+        later = limits.limit(5, False, Instant(60))
+        assert learned < before / 5
+        assert later == pytest.approx(before)
+
+
 class TestMembers:
     """Which hosts callers are told to use."""
 
