--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -38,8 +38,15 @@
 # A refused or silent connection keeps a server out for this long; it doubles
 # with each in a row up to the maximum trial pause.
 CONNECT_PAUSE_S = 0.5
-# A server that had no slot for a request has one after about a short call.
-SHED_PAUSE_S = 0.1
+# A server that had no slot for a request has one after about a short call. One
+# whose address another server has taken is gone: its entry lapses after three
+# heartbeats of 1.5 s.
+CLOSED_PAUSES_S = {AttemptResult.SHED: 0.1, AttemptResult.MISDIRECTED: 5}
+
+
+PATH_FAILURES = frozenset(
+    (AttemptResult.BROKEN, AttemptResult.TIMED_OUT, AttemptResult.MISMATCHED)
+)
 
 
 class Condition(Enum):
@@ -192,15 +199,15 @@
         server = attempt.server
         if result is AttemptResult.COMPLETE:
             self.note_answer(attempt, status or 0, now)
-        elif result is AttemptResult.SHED:
-            self.record(server).closed_until = Instant(now + SHED_PAUSE_S)
         elif result is AttemptResult.NOT_SENT:
             self.note_path_failure(server, now)
-            record = self.record(server)
-            pause = CONNECT_PAUSE_S * record.path_failures
-            record.closed_until = Instant(now + pause)
-        elif result is not AttemptResult.CANCELLED:
+            pause = CONNECT_PAUSE_S * self.record(server).path_failures
+            self.record(server).closed_until = Instant(now + pause)
+        elif result in PATH_FAILURES:
             self.note_path_failure(server, now)
+        else:
+            pause = CLOSED_PAUSES_S.get(result, 0)
+            self.record(server).closed_until = Instant(now + pause)
 
     def note_answer(
         self, attempt: RunningAttempt, status: int, now: Instant
