--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -18,19 +18,20 @@
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import KeyedRecord, RecordPage, ServerEntry
 from teaselcove.ingress.gossip import Gossip, ServerNews
+from teaselcove.ingress.members import SETTLE_S
 from teaselcove.kernel import Kernel
 from teaselcove.platform import records
 from teaselcove.platform.store import StoreClient
 
 log = logging.getLogger('teaselcove.store')
 
-# Seconds that a long poll waits. Keep-alive probes find silent connections
-# sooner.
-POLL_WAIT_S = 15
+# Seconds that a long poll waits, below the store's maximum of 30 s. Keep-alive
+# probes find silent connections sooner.
+POLL_WAIT_S = 28
 # A host that reads for its zone confirms the configuration at this interval
 # in seconds. Others confirm it themselves at a higher age; withdrawn keys must
 # stop within 5 s.
-CONFIRM_INTERVAL_S = 1.2
+CONFIRM_INTERVAL_S = 1.6
 CONFIRM_AGE_S = 2.8
 # Age in seconds at which a host that serves requests reads the servers
 # itself; one that leaves must get no work after 2 s.
@@ -222,8 +223,14 @@
         await asyncio.wait([self.reading_servers], timeout=CONFIRM_WAIT_S)
 
     def is_reader(self, now: Instant) -> bool:
-        """Returns whether this host reads for its availability zone."""
+        """Returns whether this host reads for its availability zone.
+
+        A host that has just started does not yet know the others, and all
+        hosts may have started together.
+        """
         members = self.kernel.service('members')
+        if now - members.started_at < SETTLE_S:
+            return False
         in_use = members.in_use(now)
         return bool(in_use) and in_use[0] == members.own
 
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -22,8 +22,9 @@
 SILENCE_S = 1.6
 # Hosts that start within this time count as equally old.
 AGE_STEP_MS = 5000
-# A host that has just started waits for the heartbeats of the others.
-SETTLE_S = 0.7
+# A host that has just started knows the others after this time: it reads
+# their records after 0.25 s and hears them within two heartbeats.
+SETTLE_S = 1.5
 # Requests per second for each core and for each Mbit/s of the link, at about
 # half of what saturates them. A request takes some 2 ms of a core, and with its
 # answer 5 KB in and out.
@@ -171,7 +172,7 @@
             return self.hears_store(now) or not self.peers
         host = self.kernel.settings.host
         hearing = sum(host in peer.hears for peer in listeners)
-        settling = now - self.started_at < SETTLE_S + SILENCE_S
+        settling = now - self.started_at < SETTLE_S + HEARTBEAT_INTERVAL_S
         return settling or 2 * hearing >= len(listeners)
 
     def hears_store(self, now: Instant) -> bool:
