--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -20,7 +20,11 @@
 from teaselcove.ingress.log_lines import StructuredLog
 from teaselcove.ingress.readout import Readout
 from teaselcove.ingress.requests import Requests
-from teaselcove.ingress.server import CallerEndpoint, OwnEndpoint
+from teaselcove.ingress.server import (
+    BodyMemory,
+    CallerEndpoint,
+    OwnEndpoint,
+)
 from teaselcove.ingress.settings import IngressSettings, load_settings
 from teaselcove.platform import boot as platform_boot
 from teaselcove.platform import hosts
@@ -78,6 +82,9 @@
             members.capacity_of(boot.cores, boot.link_mbps),
         )
         self.readout = Readout()
+        self.body_memory = BodyMemory(
+            int(boot.memory_bytes * settings.memory_share)
+        )
         self.pool = BackendPool(boot.ip, settings.max_answer_bytes)
         self.gossip = Gossip(self.kernel, self.own, transport_settings(boot))
         self.draining = False
--- a/teaselcove/ingress/server.py
+++ b/teaselcove/ingress/server.py
@@ -45,6 +45,8 @@
 HTTP_CODING = 'latin-1'
 NOT_READY_STATUS = 503
 NOT_FOUND_STATUS = 404
+# Time in seconds in which some of the bodies in memory have been sent on.
+FULL_RETRY_AFTER_S = 0.5
 JSON_TYPE = (b'content-type', b'application/json')
 TEXT_TYPE = (b'content-type', b'text/plain; version=0.0.4')
 # An answer that is ready is written before the connection may close.
@@ -98,6 +100,34 @@
     return refusal.status
 
 
+class BodyMemory:
+    """Bounds the bodies that a host holds together.
+
+    Attributes:
+        limit: Bytes.
+        held: Bytes of the requests in progress.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.held = 0
+
+    def hold(self, size: int) -> None:
+        """Counts a part of a body.
+
+        Raises:
+            BadRequestError: If it does not fit.
+        """
+        self.held += size
+        if self.held > self.limit:
+            full = not_run(Reason.QUEUE_FULL, FULL_RETRY_AFTER_S)
+            raise BadRequestError(full)
+
+    def release(self, size: int) -> None:
+        """Forgets a body."""
+        self.held = max(0, self.held - size)
+
+
 class CallerEndpoint:
     """ASGI application for callers' requests."""
 
@@ -159,8 +189,9 @@
                 return work.result()
             raise CallerGoneError
         finally:
-            gone.cancel()
-            work.cancel()
+            for task in (work, gone):
+                task.cancel()
+            self.daemon.body_memory.release(len(arrival.request.body))
 
     async def read(self, scope: Scope, receive: Receive) -> Arrival:
         """Reads a whole request.
@@ -192,23 +223,28 @@
         """Returns the body of a request.
 
         Raises:
-            BadRequestError: If it is too large.
+            BadRequestError: If it is too large, or too much is held already.
             CallerGoneError: If the connection closes before its end.
         """
+        memory = self.daemon.body_memory
         limit = self.daemon.max_body_bytes()
-        parts = []
+        parts: list[bytes] = []
         size = 0
         more = True
-        while more:
-            message = await receive()
-            if message['type'] == 'http.disconnect':
-                raise CallerGoneError
-            part = message.get('body', b'')
-            size += len(part)
-            if size > limit:
-                raise BadRequestError(not_run(Reason.TOO_LARGE))
-            parts.append(part)
-            more = message.get('more_body', False)
+        try:
+            while more:
+                message = await receive()
+                if message['type'] == 'http.disconnect':
+                    raise CallerGoneError
+                parts.append(message.get('body', b''))
+                size += len(parts[-1])
+                memory.hold(len(parts[-1]))
+                if size > limit:
+                    raise BadRequestError(not_run(Reason.TOO_LARGE))
+                more = message.get('more_body', False)
+        except (BadRequestError, CallerGoneError):
+            memory.release(size)
+            raise
         return b''.join(parts)
 
     async def refuse(
--- a/teaselcove/ingress/settings.py
+++ b/teaselcove/ingress/settings.py
@@ -19,7 +19,7 @@
         resolve_lifetime: Seconds for which callers may keep that answer.
         server_read_interval: Seconds between reads of the backend servers.
         max_waiting: Requests that may wait for a backend server's slot.
-        memory_share: Share of the memory that the body of a request may take.
+        memory_share: Share of the memory that bodies may take together.
         max_answer_bytes: Largest body of an answer.
         log_lines_per_second: Lines of one kind above which lines are left
             out and counted.
--- a/tests/test_ingress_connection.py
+++ b/tests/test_ingress_connection.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 
@@ -90,6 +91,38 @@
         writer.transport.abort()
 
 
+class Hanging:
+    """A server that never answers and notices the end of a connection."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+        self.closed = False
+
+    async def __call__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves a connection."""
+        await read_head(reader)
+        self.asked.set()
+        with suppress(ConnectionResetError):
+            await reader.read()
+        self.closed = True
+        writer.close()
+
+
+async def cancel_attempt(server: Hanging) -> None:
+    """Cancels an attempt that runs, as for a caller that leaves."""
+    listener = await asyncio.start_server(server, IP, 0)
+    port = listener.sockets[0].getsockname()[1]
+    pool = BackendPool(IP, MAX_ANSWER)
+    work = run_attempt(pool, Server('i-1', f'{IP}:{port}', 'a'), outgoing(), 5)
+    task = asyncio.get_running_loop().create_task(work)
+    await server.asked.wait()
+    task.cancel()
+    await asyncio.sleep(0.1)
+    listener.close()
+
+
 async def play_in_loop(
     script: Script,
     requests: tuple[OutgoingRequest, ...],
@@ -298,3 +331,9 @@
         ids = ('a1', 'a2', 'a1', 'a2')
         ends = play(script, *map(outgoing, ids), pause=STALE_IDLE_S * 2)
         assert [end.stale for end in ends] == [False, True, False, False]
+
+    def test_cancelled_attempt(self) -> None:
+        """Guards against work for a caller that has left."""
+        hang = Hanging()
+        asyncio.run(cancel_attempt(hang))
+        assert hang.closed
