--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import time
 
 from soak.checks import Evidence, Sent
+from soak.link import Link
 from teaselcove.http_connection import (
     ConnectionBrokenError,
     HttpConnection,
@@ -25,7 +26,8 @@
     """Sends requests for one organisation.
 
     Attributes:
-        addresses: Where each host is reached, by its name.
+        links: Ways to the hosts, by their names.
+        opened: When each connection was opened.
         stopping: Hosts that were asked to stop, and when.
     """
 
@@ -34,7 +36,7 @@
         name: str,
         organisation: str,
         key: str,
-        addresses: dict[str, str],
+        links: dict[str, Link],
         evidence: Evidence,
         stopping: dict[str, float],
         seed: int,
@@ -42,18 +44,19 @@
         self.name = name
         self.organisation = organisation
         self.key = key
-        self.addresses = addresses
+        self.links = links
         self.evidence = evidence
         self.stopping = stopping
         self.random = random.Random(seed)
         self.kept: dict[str, HttpConnection] = {}
+        self.opened: dict[HttpConnection, float] = {}
         self.numbers = itertools.count(1)
 
     async def run(self, pause: float) -> None:
         """Sends requests until cancelled."""
         while True:
             await asyncio.sleep(self.random.expovariate(1 / pause))
-            host = self.random.choice(sorted(self.addresses))
+            host = self.random.choice(sorted(self.links))
             await self.send(host)
 
     async def send(self, host: str) -> None:
@@ -84,24 +87,32 @@
             sent.body = answer.body
             self.keep(host, connection)
         sent.ended_at = time.monotonic()
-        sent.planned_stop = self.is_planned_stop(sent)
+        opened_at = self.opened.get(connection, sent.sent_at)
+        sent.planned_stop = self.is_planned_stop(sent, opened_at)
 
-    def is_planned_stop(self, sent: Sent) -> bool:
-        """Returns whether only a planned stop can have cut a request."""
+    def is_planned_stop(self, sent: Sent, opened_at: float) -> bool:
+        """Returns whether only a planned stop can have cut a request.
+
+        An answer may be lost on a connection that the soak has harmed.
+        """
         asked = self.stopping.get(sent.host)
-        return asked is not None and sent.sent_at < asked + 1 < sent.ended_at
+        if asked is None or self.links[sent.host].harmed_at > opened_at:
+            return False
+        return sent.sent_at < asked + 1 < sent.ended_at
 
     async def connection(self, host: str) -> HttpConnection:
         """Returns a kept connection or a new one."""
         kept = self.kept.pop(host, None)
         if kept is not None and kept.is_usable:
             return kept
-        return await connect(
-            self.addresses[host],
+        connection = await connect(
+            self.links[host].listen,
             CONNECT_TIMEOUT_S,
             USER_TIMEOUT_MS,
             MAX_ANSWER_BYTES,
         )
+        self.opened[connection] = time.monotonic()
+        return connection
 
     def keep(self, host: str, connection: HttpConnection) -> None:
         """Keeps a connection for a later request, as a rule."""
@@ -109,6 +120,7 @@
             self.kept[host] = connection
         else:
             connection.close()
+            self.opened.pop(connection, None)
 
     def request(self, sent: Sent) -> bytes:
         """Returns a request as bytes."""
--- a/soak/link.py
+++ b/soak/link.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import struct
+import time
 from contextlib import suppress
 from enum import Enum
 
@@ -30,6 +31,7 @@
         harm: What happens to the bytes of all connections.
         delay: Seconds by which bytes are late, if that is the harm.
         silenced: Connections that stay silent for good.
+        harmed_at: Monotonic time at which connections were last harmed.
     """
 
     def __init__(self, listen: str, target: str, seed: int) -> None:
@@ -40,6 +42,7 @@
         self.delay = 0.1
         self.writers: set[asyncio.StreamWriter] = set()
         self.silenced: set[asyncio.StreamWriter] = set()
+        self.harmed_at = float('-inf')
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -107,12 +110,14 @@
 
     def reset_some(self, share: float) -> None:
         """Resets a share of the connections."""
+        self.harmed_at = time.monotonic()
         for writer in tuple(self.writers):
             if self.random.random() < share:
                 reset(writer)
 
     def silence_some(self, share: float) -> None:
         """Lets a share of the connections go silent for good."""
+        self.harmed_at = time.monotonic()
         for writer in tuple(self.writers):
             if self.random.random() < share:
                 self.silenced.add(writer)
--- a/soak/run.py
+++ b/soak/run.py
@@ -178,9 +178,6 @@
 
     def callers(self) -> list[Caller]:
         """Returns the callers of all keys."""
-        addresses = {
-            name: link.listen for name, link in self.caller_links.items()
-        }
         window = self.evidence.quota_window_s
         bound = (RATE * window + BURST) * (1 + BOUNDS['quotaOverage'])
         bound += BOUNDS['quotaSlack']
@@ -190,7 +187,7 @@
                 f'{key}-{index}',
                 organisation,
                 key,
-                addresses,
+                self.caller_links,
                 self.evidence,
                 self.stopping,
                 self.random.getrandbits(32),
