Space reads that newer versions elsewhere cause

Each heartbeat of a host with a newer version made a refused host read again, up to 30 times a second. Change: one such read in 0.8 s; pauses after failures grow to 1.5 s. Test that fails before: test_newer_version_elsewhere.

--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -36,10 +36,14 @@
 # Age in seconds at which a host that serves requests reads the servers
 # itself; one that leaves must get no work after 2 s.
 SERVERS_AGE_S = 1.6
+# Time in seconds between reads because another host has a newer version.
+OUTDATED_INTERVAL_S = 0.8
 # Seconds that a request waits for the store to confirm.
 CONFIRM_WAIT_S = 0.6
 FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 0.5
+# A store that is back is noticed within this time; hosts have to be up to date
+# 3 s after its return.
+MAX_PAUSE_S = 1.5
 # A host that served no request for this long stops to read the servers.
 IDLE_S = 4
 # Failures in a row after which the store counts as away.
@@ -88,6 +92,7 @@
     Attributes:
         served_at: When the host last served a request.
         failures: Reads in a row that failed.
+        outdated_at: When a newer version elsewhere last caused a read.
     """
 
     def __init__(
@@ -103,11 +108,20 @@
         }
         self.served_at = Instant(float('-inf'))
         self.failures = 0
+        self.outdated_at = Instant(float('-inf'))
         self.confirming: asyncio.Task[None] | None = None
         self.reading_servers: asyncio.Task[None] | None = None
 
     def outdated(self) -> None:
-        """Reads the configuration because another host has a newer one."""
+        """Reads the configuration because another host has a newer one.
+
+        All heartbeats say so until it is read, also while the store refuses
+        this host, so the reads are spaced.
+        """
+        now = boot_time()
+        if now - self.outdated_at < OUTDATED_INTERVAL_S:
+            return
+        self.outdated_at = now
         if self.confirming is None or self.confirming.done():
             self.confirming = self.spawn(self.read_configuration)
 
