--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -20,7 +20,11 @@
 from teaselcove.ingress.log_lines import StructuredLog
 from teaselcove.ingress.readout import Readout
 from teaselcove.ingress.requests import Requests
-from teaselcove.ingress.server import CallerEndpoint, OwnEndpoint
+from teaselcove.ingress.server import (
+    BodyMemory,
+    CallerEndpoint,
+    OwnEndpoint,
+)
 from teaselcove.ingress.settings import IngressSettings, load_settings
 from teaselcove.platform import boot as platform_boot
 from teaselcove.platform import hosts
@@ -78,6 +82,9 @@
             members.capacity_of(boot.cores, boot.link_mbps),
         )
         self.readout = Readout()
+        self.body_memory = BodyMemory(
+            int(boot.memory_bytes * settings.memory_share)
+        )
         self.pool = BackendPool(boot.ip, settings.max_answer_bytes)
         self.gossip = Gossip(self.kernel, self.own, transport_settings(boot))
         self.draining = False
@@ -90,7 +97,9 @@
 
     def is_ready(self) -> bool:
         """Returns whether the host may get requests."""
-        return bool(self.service('catalog').version) and not self.draining
+        knows_servers = self.service('discovery').read_at is not None
+        knows_routes = self.service('catalog').version > 0
+        return knows_routes and knows_servers and not self.draining
 
     def resolve(self, zone: ZoneName) -> dict[str, Any]:
         """Returns which hosts the callers of a zone should use."""
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -18,27 +18,32 @@
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import KeyedRecord, RecordPage, ServerEntry
 from teaselcove.ingress.gossip import Gossip, ServerNews
+from teaselcove.ingress.members import SETTLE_S
 from teaselcove.kernel import Kernel
 from teaselcove.platform import records
 from teaselcove.platform.store import StoreClient
 
 log = logging.getLogger('teaselcove.store')
 
-# Seconds that a long poll waits. Keep-alive probes find silent connections
-# sooner.
-POLL_WAIT_S = 15
+# Seconds that a long poll waits, below the store's maximum of 30 s. Keep-alive
+# probes find silent connections sooner.
+POLL_WAIT_S = 28
 # A host that reads for its zone confirms the configuration at this interval
 # in seconds. Others confirm it themselves at a higher age; withdrawn keys must
 # stop within 5 s.
-CONFIRM_INTERVAL_S = 1.2
+CONFIRM_INTERVAL_S = 1.6
 CONFIRM_AGE_S = 2.8
 # Age in seconds at which a host that serves requests reads the servers
 # itself; one that leaves must get no work after 2 s.
 SERVERS_AGE_S = 1.6
+# Time in seconds between reads because another host has a newer version.
+OUTDATED_INTERVAL_S = 0.8
 # Seconds that a request waits for the store to confirm.
 CONFIRM_WAIT_S = 0.6
 FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 0.5
+# A store that is back is noticed within this time; hosts have to be up to date
+# 3 s after its return.
+MAX_PAUSE_S = 1.5
 # A host that served no request for this long stops to read the servers.
 IDLE_S = 4
 # Failures in a row after which the store counts as away.
@@ -87,6 +92,7 @@
     Attributes:
         served_at: When the host last served a request.
         failures: Reads in a row that failed.
+        outdated_at: When a newer version elsewhere last caused a read.
     """
 
     def __init__(
@@ -102,11 +108,20 @@
         }
         self.served_at = Instant(float('-inf'))
         self.failures = 0
+        self.outdated_at = Instant(float('-inf'))
         self.confirming: asyncio.Task[None] | None = None
         self.reading_servers: asyncio.Task[None] | None = None
 
     def outdated(self) -> None:
-        """Reads the configuration because another host has a newer one."""
+        """Reads the configuration because another host has a newer one.
+
+        All heartbeats say so until it is read, also while the store refuses
+        this host, so the reads are spaced.
+        """
+        now = boot_time()
+        if now - self.outdated_at < OUTDATED_INTERVAL_S:
+            return
+        self.outdated_at = now
         if self.confirming is None or self.confirming.done():
             self.confirming = self.spawn(self.read_configuration)
 
@@ -222,14 +237,26 @@
         await asyncio.wait([self.reading_servers], timeout=CONFIRM_WAIT_S)
 
     def is_reader(self, now: Instant) -> bool:
-        """Returns whether this host reads for its availability zone."""
+        """Returns whether this host reads for its availability zone.
+
+        A host that has just started does not yet know the others, and all
+        hosts may have started together.
+        """
         members = self.kernel.service('members')
+        if now - members.started_at < SETTLE_S:
+            return False
         in_use = members.in_use(now)
         return bool(in_use) and in_use[0] == members.own
 
     async def keep_fresh(self) -> None:
-        """Reads the store at intervals, for the zone or when need be."""
+        """Reads the store at intervals, for the zone or when need be.
+
+        The servers are read once at the start: the store may be away when
+        the first request comes.
+        """
         interval = self.kernel.settings.ingress.server_read_interval
+        while not await self.read_servers():
+            await asyncio.sleep(MAX_PAUSE_S)
         while True:
             now = boot_time()
             if self.is_reader(now):
--- a/teaselcove/ingress/settings.py
+++ b/teaselcove/ingress/settings.py
@@ -27,7 +27,7 @@
 
     hosts_in_use: Count = 2
     resolve_lifetime: Seconds = 2
-    server_read_interval: Seconds = 0.8
+    server_read_interval: Seconds = 0.9
     max_waiting: Count = 256
     memory_share: Share = 0.25
     max_answer_bytes: Count = 16 * 1024 * 1024
