Take only answers without any byte for crashes; announce hosts in use more than once

Cause: test_booking_runs_once failed with statuses 502 and 503: three bookings with equal content got cut answers, which were taken for crashes of their servers, and the next ones were refused for a minute. A hedge could go to the server that hangs. Change: a cut answer is no crash; four announcements instead of one; hosts that have just appeared do not count as not hearing; a hedge excludes the first server. Tests that fail before: test_cut_answers_block_no_request, test_host_that_has_just_appeared, test_hedge_goes_elsewhere.

--- a/teaselcove/daemon.py
+++ b/teaselcove/daemon.py
@@ -21,6 +21,7 @@
 from teaselcove.driver import Driver
 from teaselcove.frontend import Frontend
 from teaselcove.ids import OrganisationId
+from teaselcove.listening import listening_socket
 from teaselcove.platform.port import PlatformPort
 from teaselcove.readout import Readout
 from teaselcove.server import application
@@ -141,15 +142,8 @@
 
     def bind(self) -> socket.socket:
         """Returns the socket for callers."""
-        # asyncio sets TCP_NODELAY only on sockets that name their protocol;
-        # without it an answer in two writes is 40 ms late.
-        listener = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
-        )
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self.settings.address, self.settings.port))
+        listener = listening_socket(self.settings.address, self.settings.port)
         listener.listen(LISTEN_BACKLOG)
-        listener.setblocking(False)
         return listener
 
     def http_config(self) -> uvicorn.Config:
--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -39,6 +39,7 @@
     Attributes:
         stale: Whether a kept connection ended without any byte of an
             answer, which says little about the server.
+        began: Whether any byte of an answer came.
         problem: What went wrong, for the log.
     """
 
@@ -46,6 +47,7 @@
     answer: RawAnswer | None = None
     elapsed: float = 0
     stale: bool = False
+    began: bool = False
     problem: str = ''
 
     @property
@@ -257,7 +259,12 @@
         connection.close()
         silent = reused and not error.answered
         stale = silent and pool.was_stale(server.id, connection, started)
-        return AttemptEnd(AttemptResult.BROKEN, stale=stale, problem=str(error))
+        return AttemptEnd(
+            AttemptResult.BROKEN,
+            stale=stale,
+            began=error.answered,
+            problem=str(error),
+        )
     connection.idle_limit = idle_limit(answer) or connection.idle_limit
     pool.keep(server.id, connection)
     elapsed = boot_time() - started
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -42,6 +42,9 @@
 # Heartbeats between those to all hosts of other availability zones, which
 # learn of the hosts in use from them.
 ANNOUNCE_BEATS = 10
+# Heartbeats to all hosts after a host has come into use: the first message to
+# a host is lost, because its connection is only being opened.
+FIRST_ANNOUNCEMENTS = 4
 # Counts of attempts of a host that has not reported for this long are
 # dropped.
 REPORT_LIFETIME_S = 1.5
@@ -111,6 +114,7 @@
 
     Attributes:
         outdated: Called when another host has a newer configuration.
+        announcements: Heartbeats that are still to go to all hosts.
     """
 
     def __init__(
@@ -123,6 +127,7 @@
         self.beats = 0
         self.reports = 0
         self.was_in_use = False
+        self.announcements = 0
         self.reported: dict[BackendServerId, int] = {}
         self.loads: dict[HostId, PeerLoad] = {}
         self.transport = Transport(
@@ -279,11 +284,11 @@
     def send_heartbeats(self, now: Instant) -> None:
         """Sends a heartbeat to the hosts that need it."""
         in_use = self.members.is_in_use(now)
-        announce = in_use and (
-            not self.was_in_use or self.beats % ANNOUNCE_BEATS == 0
-        )
         if in_use != self.was_in_use:
             self.kernel.decide('in-use', in_use=in_use)
+            self.announcements = FIRST_ANNOUNCEMENTS
+        announce = self.announcements > 0 or self.beats % ANNOUNCE_BEATS == 0
+        self.announcements = max(0, self.announcements - 1)
         self.was_in_use = in_use
         hears = tuple(self.members.heard_hosts(now))
         near = [
--- a/teaselcove/ingress/listener.py
+++ b/teaselcove/ingress/listener.py
@@ -1,7 +1,6 @@
 """Listeners that serve ASGI applications without the server's main loop."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import uvicorn
@@ -9,6 +8,8 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from teaselcove.listening import listening_socket
+
 LISTEN_BACKLOG = 1024
 
 
@@ -67,14 +68,7 @@
             OSError: If the address cannot be used.
         """
         self.config.load()
-        # asyncio sets TCP_NODELAY only on sockets that name their protocol;
-        # without it an answer in two writes is 40 ms late.
-        listener = socket.socket(
-            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
-        )
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self.host, self.port))
-        listener.setblocking(False)
+        listener = listening_socket(self.host, self.port)
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             self.protocol, sock=listener, backlog=LISTEN_BACKLOG
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -39,11 +39,13 @@
 
     Attributes:
         heard_at: When its latest heartbeat arrived, or None.
+        appeared_at: Since when it has been heard without a silence.
         hears: Hosts of its zone that it hears.
     """
 
     record: HostRecord
     heard_at: Instant | None = None
+    appeared_at: Instant = Instant(0)
     leaving: bool = False
     is_in_use: bool = False
     hears: frozenset[HostId] = frozenset()
@@ -112,6 +114,8 @@
         if peer is None or peer.record.started_ms > record.started_ms:
             return False
         was_silent = not self.is_live(peer, now)
+        if was_silent:
+            peer.appeared_at = now
         peer.heard_at = now
         peer.leaving = leaving
         peer.is_in_use = in_use
@@ -163,17 +167,21 @@
         """Returns whether this host may be in use.
 
         A host that the others of its zone do not hear is left out by them,
-        and must not count itself in.
+        and must not count itself in. One that has just appeared cannot have
+        heard this host yet.
         """
         if self.leaving or now - self.resumed_at < SILENCE_S:
             return False
-        listeners = self.live(self.zone, now)
-        if not listeners:
+        live = self.live(self.zone, now)
+        if not live:
             return self.hears_store(now) or not self.peers
         host = self.kernel.settings.host
-        hearing = sum(host in peer.hears for peer in listeners)
-        settling = now - self.started_at < SETTLE_S + HEARTBEAT_INTERVAL_S
-        return settling or 2 * hearing >= len(listeners)
+        listeners = [
+            host in peer.hears
+            for peer in live
+            if now - peer.appeared_at > SETTLE_S
+        ]
+        return 2 * sum(listeners) >= len(listeners)
 
     def hears_store(self, now: Instant) -> bool:
         """Returns whether the store answered lately."""
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -160,7 +160,7 @@
             if hedge_after is not None:
                 await asyncio.wait([attempts[0].task], timeout=hedge_after)
                 if not attempts[0].task.done():
-                    attempts.extend(self.hedge(call))
+                    attempts.extend(self.hedge(call, pick))
             return await self.first_useful(call, attempts)
         finally:
             for attempt in attempts:
@@ -226,12 +226,15 @@
         self.note_crash(call, pick, end)
 
     def note_crash(self, call: Call, pick: Pick, end: AttemptEnd) -> None:
-        """Finds requests that crash the servers that run them."""
+        """Finds requests that crash the servers that run them.
+
+        A server that crashes sends no byte of an answer.
+        """
         acceptance: Acceptance = self.service('acceptance')
         if end.result is AttemptResult.COMPLETE:
             acceptance.crashes.clear(call.digest)
             return
-        if end.result is not AttemptResult.BROKEN or end.stale:
+        if end.result is not AttemptResult.BROKEN or end.stale or end.began:
             return
         suspicion = CrashSuspected(call.digest, pick.known.server.id)
         self.gossip.note_suspicion(suspicion, boot_time())
@@ -246,12 +249,18 @@
         latency = self.service('health').usual_latency(call.service)
         return max(MIN_HEDGE_S, HEDGE_FACTOR * latency)
 
-    def hedge(self, call: Call) -> list[Attempt]:
-        """Starts a second attempt if the budget and the servers allow it."""
+    def hedge(self, call: Call, first: Pick) -> list[Attempt]:
+        """Starts a second attempt if the budget and the servers allow it.
+
+        Args:
+            call: The request.
+            first: Where its first attempt is still running.
+        """
         now = boot_time()
         window = self.service('retry-window')
         if not window.has(call.service, now, spare=HEDGE_SPARE):
             return []
+        call.exclude = call.exclude | {first.known.server.id}
         pick = self.slots.pick(call, now, hedge=True)
         if pick is None:
             return []
