Confirm only whole reads, survive races of reads, check addresses of records

Cause: found in reading the code. A read that ends before the end of the topic (large configurations) was taken as proof that no newer version exists; a lost history during a long poll ended the process with a TypeError; a host whose clock had jumped back was ignored by its peers when it started again; addresses of foreign records could raise errors that nobody caught. Change: each of these, with tests that fail before.

--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -1,8 +1,9 @@
 """Reads the store for a host and keeps its beliefs fresh.
 
 Every host waits for new configurations with long polls, which cost few
-calls. Only a host that serves requests also confirms at short intervals that
-its configuration is the newest, and reads the backend servers.
+calls. One host of each availability zone also reads the backend servers and
+confirms the configuration at short intervals, and vouches for both. The others
+read for themselves when they serve requests and nobody vouches.
 """
 
 import asyncio
@@ -79,7 +80,8 @@
                 log.info('history-lost', extra={'figures': {'why': str(error)}})
                 self.offset = None
             else:
-                self.offset = max(self.offset, page.next_offset)
+                # Another read may have met a lost history meanwhile.
+                self.offset = max(self.offset or 0, page.next_offset)
                 return page, False
         page = await self.store.newest(self.topic, asked_at)
         self.offset = page.next_offset
@@ -178,9 +180,10 @@
             self.take_configuration(item)
         # The store accepts valid configurations only, so a record that
         # cannot be read withdraws no key.
-        catalog = self.kernel.service('catalog')
-        catalog.confirm(page.asked_at)
-        catalog.read_at = page.asked_at
+        if page.is_whole:
+            catalog = self.kernel.service('catalog')
+            catalog.confirm(page.asked_at)
+            catalog.read_at = page.asked_at
         return True
 
     def take_configuration(self, record: KeyedRecord) -> None:
@@ -300,8 +303,9 @@
         if complete:
             listed = {BackendServerId(item.key) for item in page.records}
             discovery.retain(listed, page.next_offset)
-        discovery.confirm(page.asked_at)
-        discovery.own_read_at = page.asked_at
+        if page.is_whole:
+            discovery.confirm(page.asked_at)
+            discovery.own_read_at = page.asked_at
         return True
 
     def take_server(self, record: KeyedRecord, now: Instant) -> bool:
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -91,11 +91,9 @@
         self.store_heard_at = now
 
     def note_record(self, record: HostRecord) -> bool:
-        """Notes a host's record; returns whether it is new."""
-        if self.own is not None and record.host == self.own.host:
-            return False
-        peer = self.peers.get(record.host)
-        if peer is not None and peer.record.started_ms >= record.started_ms:
+        """Notes a host's record in the store; returns whether it is new."""
+        own = self.own is not None and record.host == self.own.host
+        if own or record.host in self.peers:
             return False
         self.peers[record.host] = Peer(record)
         return True
@@ -109,10 +107,12 @@
         now: Instant,
     ) -> bool:
         """Notes a heartbeat; returns whether its sender was not heard."""
-        self.note_record(record)
         peer = self.peers.get(record.host)
-        if peer is None or peer.record.started_ms > record.started_ms:
-            return False
+        if peer is None or peer.record != record:
+            # Another process of the host. Times of day do not order them,
+            # since the clock of a host may jump.
+            peer = Peer(record)
+            self.peers[record.host] = peer
         was_silent = not self.is_live(peer, now)
         if was_silent:
             peer.appeared_at = now
--- a/teaselcove/platform/hosts.py
+++ b/teaselcove/platform/hosts.py
@@ -4,6 +4,7 @@
 
 from teaselcove.errors import CodecError
 from teaselcove.ingress.entities import HostRecord, KeyedRecord
+from teaselcove.platform.addresses import is_address
 
 TOPIC = 'keyed.hosts'
 
@@ -20,6 +21,9 @@
         CodecError: If the record names no host.
     """
     try:
-        return msgspec.json.decode(item.value or b'', type=HostRecord)
+        record = msgspec.json.decode(item.value or b'', type=HostRecord)
     except msgspec.MsgspecError as error:
         raise CodecError(f'host {item.key}: {error}') from error
+    if not (is_address(record.address) and is_address(record.peer_address)):
+        raise CodecError(f'host {item.key}: no usable address')
+    return record
--- a/teaselcove/platform/records.py
+++ b/teaselcove/platform/records.py
@@ -23,6 +23,7 @@
     ServerEntry,
     WeightedService,
 )
+from teaselcove.platform.addresses import is_address
 
 MS_PER_S = 1000
 CONFIGURATION_TOPIC = 'keyed.op'
@@ -220,8 +221,7 @@
         wire = msgspec.json.decode(payload, type=WireServer)
     except msgspec.MsgspecError as error:
         raise CodecError(f'server {key}: {error}') from error
-    host, _, port = wire.address.rpartition(':')
-    if wire.state not in {READY, DRAINING} or not (host and port.isdigit()):
+    if wire.state not in {READY, DRAINING} or not is_address(wire.address):
         raise CodecError(f'server {key}: no usable state or address')
     server = Server(
         BackendServerId(key),
--- a/teaselcove/platform/store.py
+++ b/teaselcove/platform/store.py
@@ -95,6 +95,20 @@
     return LENGTH.pack(len(content)) + content
 
 
+def decode_value(topic: str, item: NewestItem) -> bytes | None:
+    """Returns the value of a record, or None if its key was dropped.
+
+    Raises:
+        CodecError: If it is not base64.
+    """
+    if item.value is None:
+        return None
+    try:
+        return base64.b64decode(item.value)
+    except ValueError as error:
+        raise CodecError(f'{topic}: {item.key}: {error}') from error
+
+
 class StoreClient:
     """Calls the platform's store.
 
@@ -210,8 +224,12 @@
             raise self.refused('log-read', status)
         if len(body) < READ_HEADER.size:
             raise CodecError(f'{topic}: answer of {len(body)} bytes')
+        end = READ_HEADER.unpack_from(body)[0]
         records = split_records(body[READ_HEADER.size :], offset)
-        return RecordPage(tuple(records), offset + len(records), asked_at)
+        following = offset + len(records)
+        return RecordPage(
+            tuple(records), following, asked_at, is_whole=following >= end
+        )
 
     async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
         """Reads the newest record of each key.
@@ -230,9 +248,8 @@
         while more:
             reply = await self.newest_page(topic, query)
             for item in reply.items:
-                text = item.value
-                decoded = None if text is None else base64.b64decode(text)
-                records.append(KeyedRecord(item.key, decoded, item.offset))
+                content = decode_value(topic, item)
+                records.append(KeyedRecord(item.key, content, item.offset))
             end = reply.end if end is None else end
             more = reply.has_more and bool(reply.items)
             if more:
--- a/tests/ingress_support.py
+++ b/tests/ingress_support.py
@@ -33,7 +33,7 @@
 def host_record(name: str, zone: str = 'a', started_ms: int = 0) -> HostRecord:
     """Returns the record of a host."""
     return HostRecord(
-        name, zone, f'127.0.0.1:{name}', f'127.0.1.1:{name}', started_ms
+        name, zone, '127.0.0.1:8000', '127.0.0.1:9000', started_ms
     )
 
 
--- a/tests/test_ingress_decisions.py
+++ b/tests/test_ingress_decisions.py
@@ -672,6 +672,15 @@
             )
         assert not members.is_in_use(Instant(10))
 
+    def test_clock_that_has_jumped_back(self) -> None:
+        """Guards against ignoring a host that starts again."""
+        members = make_kernel().service('members')
+        hears = frozenset(('host-1',))
+        for started_ms in (9000, 5000):
+            record = host_record('host-2', started_ms=started_ms)
+            members.heard(record, False, False, hears, Instant(9))
+        assert members.peers['host-2'].record.started_ms == 5000
+
     def test_host_that_has_just_appeared(self) -> None:
         """Guards against hosts that leave use whenever another one starts."""
         members = make_kernel().service('members')
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
-from teaselcove.errors import StoreUnavailableError
+import pytest
+
+from teaselcove.errors import HistoryLostError, StoreUnavailableError
 from teaselcove.ids import Instant
-from teaselcove.ingress.entities import RecordPage
-from teaselcove.ingress.freshness import Freshness
-from tests.ingress_support import make_kernel
+from teaselcove.ingress.entities import KeyedRecord, RecordPage
+from teaselcove.ingress.freshness import Follower, Freshness
+from tests.ingress_support import configuration, make_kernel
 
 HEARTBEATS = 50
 
@@ -36,6 +38,66 @@
         await asyncio.sleep(0)
 
 
+class RacingStore:
+    """A store that forgets its history between two reads."""
+
+    def __init__(self) -> None:
+        self.forgotten = asyncio.Event()
+
+    async def read(
+        self, topic: str, offset: int, asked_at: Instant, wait: float = 0
+    ) -> RecordPage:
+        """Answers the long poll after the other read has met the loss."""
+        if not wait:
+            self.forgotten.set()
+            raise HistoryLostError(topic)
+        await self.forgotten.wait()
+        return RecordPage((), offset, asked_at)
+
+    async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
+        """Answers when the long poll has ended."""
+        await asyncio.sleep(0.01)
+        return RecordPage((), 7, asked_at)
+
+
+async def read_twice(follower: Follower) -> None:
+    """Reads with a long poll and without one at the same time."""
+    await asyncio.gather(follower.read(wait=1), follower.read())
+
+
+class PartialStore:
+    """A store whose answer does not reach the end of the topic."""
+
+    def __init__(self, is_whole: bool) -> None:
+        self.is_whole = is_whole
+
+    async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
+        """Returns a first configuration."""
+        record = KeyedRecord('config', configuration(), 0)
+        return RecordPage((record,), 1, asked_at, self.is_whole)
+
+
+class TestReads:
+    """Reads that race or end early."""
+
+    def test_history_lost_during_a_long_poll(self) -> None:
+        """Guards against a host that ends because two reads race."""
+        follower = Follower(RacingStore(), 'keyed.op')
+        follower.offset = 3
+        asyncio.run(read_twice(follower))
+        assert follower.offset == 7
+
+    @pytest.mark.parametrize('is_whole', [True, False])
+    def test_newest_version_is_proved(self, is_whole: bool) -> None:
+        """Guards against trust in keys while newer versions are unread."""
+        kernel = make_kernel()
+        freshness = Freshness(kernel, PartialStore(is_whole), NoGossip())
+        asyncio.run(freshness.read_configuration())
+        catalog = kernel.service('catalog')
+        assert catalog.version == 1
+        assert (catalog.confirmed_at is not None) is is_whole
+
+
 class TestRefusedHost:
     """The store refuses a host and serves the others."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -112,6 +112,8 @@
         [
             {'state': 'asleep'},
             {'address': 'nowhere'},
+            {'address': 'nowhere:80'},
+            {'address': '127.0.0.9:99999'},
             {'address': 7},
             {'maxConcurrency': 0},
             {'maxConcurrency': 'three'},
