Go on while the platform's settings file is missing

Cause: found in reading the code. A file that was replaced not in one step ended the process, because its time could not be read. Change: a log line, and the old settings stay in force.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 demo: venv
 	$(PYTHON) -m standins.demo
+	$(PYTHON) -m soak.run 1 --seconds=10
 
 bench: venv
 	$(PYTHON) -m standins.bench
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -254,12 +254,11 @@
 
     async def keep_house(self) -> None:
         """Closes old connections and notices changed settings."""
-        path = platform_boot.settings_path()
-        changed = path.stat().st_mtime_ns
+        changed = platform_boot.settings_time()
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.pool.close_idle()
-            latest = path.stat().st_mtime_ns
+            latest = platform_boot.settings_time()
             if latest != changed:
                 changed = latest
                 self.reload()
--- a/teaselcove/platform/boot.py
+++ b/teaselcove/platform/boot.py
@@ -1,5 +1,6 @@
 """Decodes the settings file that the platform writes for a process."""
 
+import logging
 import os
 from pathlib import Path
 from typing import Annotated
@@ -9,6 +10,8 @@
 from teaselcove.errors import SettingsError
 from teaselcove.ids import HostId, ZoneName
 
+log = logging.getLogger('teaselcove.host')
+
 SETTINGS_VARIABLE = 'TEASELCOVE_CONFIG'
 MS_PER_S = 1000
 MB = 1024 * 1024
@@ -171,6 +174,18 @@
     return Path(path)
 
 
+def settings_time() -> int | None:
+    """Returns when the settings were written, in nanoseconds of Unix time.
+
+    None while there is no file, as when it is being replaced.
+    """
+    try:
+        return settings_path().stat().st_mtime_ns
+    except OSError as error:
+        log.warning('no-settings', extra={'figures': {'why': str(error)}})
+        return None
+
+
 def load_boot(path: Path) -> Boot:
     """Reads the settings of a process.
 
--- a/tests/test_ingress_process.py
+++ b/tests/test_ingress_process.py
@@ -240,6 +240,25 @@
         assert process.wait(WAIT_S) == 0
 
 
+class TestSettings:
+    """The platform's settings file while a host runs."""
+
+    def test_missing_and_broken_file(
+        self, deployment: PlatformDeployment
+    ) -> None:
+        """Guards against a host that ends while its settings are written."""
+        path = deployment.directory / 'host-2.json'
+        log = deployment.directory / 'host-2.log'
+        good = path.read_bytes()
+        path.unlink()
+        wait_for(lambda: b'"no-settings"' in log.read_bytes())
+        path.write_bytes(good[:100])
+        wait_for(lambda: b'"reload-refused"' in log.read_bytes())
+        path.write_bytes(good)
+        wait_for(lambda: b'"kind":"reload"' in log.read_bytes())
+        assert deployment.is_ready('host-2')
+
+
 class TestStart:
     """The first seconds of a host."""
 
