Give back the slot of an attempt that is cancelled before it runs

Cause: found in reading the code. A second attempt that was cancelled in the same step of the event loop never ran, so its slot was never given back, and its server counted as busier from then on. Change: the slot is given back when the task ends. Test that fails before: test_cancelled_before_it_runs.

--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from teaselcove.crashes import CrashSuspected
+from teaselcove.entities import Server
 from teaselcove.errors import Reason, Refusal
 from teaselcove.events import AttemptResult
 from teaselcove.http_connection import RawAnswer
@@ -29,6 +30,7 @@
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.freshness import Freshness
 from teaselcove.ingress.gossip import Gossip
+from teaselcove.ingress.health import RunningAttempt
 from teaselcove.ingress.slots import Slots
 from teaselcove.kernel import Kernel
 
@@ -186,30 +188,46 @@
 
     def start(self, call: Call, pick: Pick) -> Attempt:
         """Starts an attempt whose slot is taken."""
-        work = self.send(call, pick)
-        return Attempt(pick, asyncio.get_running_loop().create_task(work))
+        now = boot_time()
+        server = pick.known.server
+        running = self.service('health').started(server.id, call.service, now)
+        work = self.send(call, server, now)
+        task = asyncio.get_running_loop().create_task(work)
+        # Not in the coroutine: it never runs if the task is cancelled first.
+        task.add_done_callback(
+            lambda done: self.attempt_ended(pick, running, done)
+        )
+        return Attempt(pick, task)
+
+    def attempt_ended(
+        self,
+        pick: Pick,
+        running: RunningAttempt,
+        task: asyncio.Task[AttemptEnd],
+    ) -> None:
+        """Notes what an attempt shows of its server; gives its slot back."""
+        end = AttemptEnd(AttemptResult.CANCELLED)
+        if not task.cancelled() and task.exception() is None:
+            end = task.result()
+        now = boot_time()
+        self.service('health').finished(
+            running, end.health_result, end.status, now
+        )
+        self.slots.release(pick)
 
-    async def send(self, call: Call, pick: Pick) -> AttemptEnd:
-        """Sends a request to a server and gives its slot back."""
+    async def send(
+        self, call: Call, server: Server, now: Instant
+    ) -> AttemptEnd:
+        """Sends a request to a server."""
         outgoing = OutgoingRequest(
             call.request,
             call.attempt_id,
             call.organisation.id if call.organisation else None,
             call.route.idempotent,
         )
-        server = pick.known.server
-        health = self.service('health')
-        started = boot_time()
-        running = health.started(server.id, call.service, started)
-        end = AttemptEnd(AttemptResult.CANCELLED)
-        try:
-            end = await run_attempt(
-                self.pool, server, outgoing, call.time_left(started)
-            )
-        finally:
-            health.finished(running, end.health_result, end.status, boot_time())
-            self.slots.release(pick)
-        return end
+        return await run_attempt(
+            self.pool, server, outgoing, call.time_left(now)
+        )
 
     def note_end(self, call: Call, pick: Pick, end: AttemptEnd) -> None:
         """Notes in a request what an attempt means for it."""
