Count successes only of attempts that started after a failure

Cause: in a model of 6 hosts, 18 servers and failures that come at once (as on the platform: a failing server answers 500 within a millisecond), 45 in 100 of the failed bookings met a server more than 0.3 s after its fault began and whose last success was under 0.2 s old. The success was of a request that had started before the fault: three of those ending brought the server back.

Change: findings carry the start of their attempt (reports: its age in milliseconds), successes that started before the latest failed attempt say nothing, and silence is counted from the start of the last success. The same for a server that resets connections.

--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -245,7 +245,7 @@
         """Takes over evidence and counts of attempts."""
         health = self.kernel.service('health')
         for evidence in report.evidence:
-            health.note(evidence, now)
+            health.note(evidence.finding(now), now)
         self.loads[sender] = PeerLoad(report.in_flight, now)
         self.sum_loads(now)
 
@@ -348,7 +348,7 @@
         if not urgent and self.reports % CALM_REPORTS:
             return
         in_flight = dict(self.kernel.service('balance').in_flight)
-        news = tuple(health.take_news())
+        news = tuple(health.take_news(now))
         if not news and in_flight == self.reported:
             return
         self.reported = in_flight
--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -16,6 +16,7 @@
 from teaselcove.kernel import Kernel
 
 SERVER_ERROR_STATUS = 500
+MS_PER_S = 1000
 # Failures in a row after which a server is out.
 OUT_FAILURES = 2
 # Successes in a row after which a server is well again. At a failure rate of
@@ -64,8 +65,12 @@
 
     Attributes:
         failures: Failures in a row.
-        successes: Successes in a row since the last failure.
+        successes: Successes in a row of attempts that started after the
+            last one that failed.
         path_failures: Failures in a row to reach it from this host.
+        failed_start: Start of the latest attempt that failed.
+        last_failure: When a failure was last noted.
+        last_success: Start of the latest attempt that succeeded.
         closed_until: When it may get a request again after it refused one.
         trial_at: When a request may try it again while it is not well.
         latency: Moving average of the service time in seconds, or None.
@@ -74,6 +79,7 @@
     failures: int = 0
     successes: int = 0
     path_failures: int = 0
+    failed_start: Instant = Instant(float('-inf'))
     last_failure: Instant = Instant(0)
     last_success: Instant = Instant(0)
     closed_until: Instant = Instant(0)
@@ -81,6 +87,16 @@
     latency: float | None = None
 
 
+def note_success(record: Record, started_at: Instant) -> None:
+    """Notes a success, unless it says less than a later failure."""
+    if started_at < record.failed_start:
+        return
+    record.successes += 1
+    record.last_success = max(record.last_success, started_at)
+    if record.successes >= RETURN_SUCCESSES:
+        record.failures = 0
+
+
 class RunningAttempt(msgspec.Struct, eq=False):
     """An attempt that has not ended."""
 
@@ -90,15 +106,43 @@
     is_overdue: bool = False
 
 
-class Evidence(msgspec.Struct, frozen=True, array_like=True):
-    """How an attempt at a server ended, as hosts tell each other.
+class Finding(msgspec.Struct, frozen=True):
+    """How an attempt at a server ended.
 
     Attributes:
         well: Whether the server completed it.
+        started_at: When the attempt started. It shows the state of the
+            server at that time: a failing server still completes what it
+            began before.
     """
 
     server: BackendServerId
     well: bool
+    started_at: Instant
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """A finding as hosts tell each other, whose clocks differ.
+
+    Attributes:
+        well: Whether the server completed the attempt.
+        age_ms: Milliseconds since the attempt started.
+    """
+
+    server: BackendServerId
+    well: bool
+    age_ms: int
+
+    @classmethod
+    def of(cls, finding: Finding, now: Instant) -> 'Evidence':
+        """Returns the evidence of a finding of this host."""
+        age_ms = round((now - finding.started_at) * MS_PER_S)
+        return cls(finding.server, finding.well, age_ms)
+
+    def finding(self, now: Instant) -> Finding:
+        """Returns the finding on the clock of the host that received it."""
+        started_at = Instant(now - self.age_ms / MS_PER_S)
+        return Finding(self.server, self.well, started_at)
 
 
 @ingress_services.register('health')
@@ -107,14 +151,14 @@
 
     Attributes:
         running: Attempts that have not ended.
-        news: Evidence that the other hosts have not been told.
+        news: Findings that the other hosts have not been told.
     """
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.records: dict[BackendServerId, Record] = {}
         self.running: set[RunningAttempt] = set()
-        self.news: list[Evidence] = []
+        self.news: list[Finding] = []
 
     def record(self, server: BackendServerId) -> Record:
         """Returns the record of a server."""
@@ -151,7 +195,7 @@
         return record is None or now - record.last_failure > FORGIVE_S
 
     def silence(self, server: BackendServerId, now: Instant) -> float:
-        """Returns the seconds since a server last completed a request."""
+        """Returns the seconds since a server last began what it completed."""
         record = self.records.get(server)
         last = Instant(0) if record is None else record.last_success
         return now - last
@@ -178,7 +222,7 @@
             limit = max(MIN_OVERDUE_S, OVERDUE_FACTOR * usual)
             if now - attempt.started_at > limit:
                 attempt.is_overdue = True
-                self.note_path_failure(attempt.server, now)
+                self.note_path_failure(attempt, now)
 
     def pause(self, record: Record) -> float:
         """Returns the seconds between trials of a server."""
@@ -202,11 +246,11 @@
         if result is AttemptResult.COMPLETE:
             self.note_answer(attempt, status or 0, now)
         elif result is AttemptResult.NOT_SENT:
-            self.note_path_failure(server, now)
+            self.note_path_failure(attempt, now)
             pause = CONNECT_PAUSE_S * self.record(server).path_failures
             self.record(server).closed_until = Instant(now + pause)
         elif result in PATH_FAILURES:
-            self.note_path_failure(server, now)
+            self.note_path_failure(attempt, now)
         else:
             pause = CLOSED_PAUSES_S.get(result, 0)
             self.record(server).closed_until = Instant(now + pause)
@@ -216,11 +260,12 @@
     ) -> None:
         """Notes a whole answer, also for the other hosts."""
         well = status < SERVER_ERROR_STATUS
-        evidence = Evidence(attempt.server, well)
-        self.note(evidence, now)
-        self.news.append(evidence)
+        finding = Finding(attempt.server, well, attempt.started_at)
+        self.note(finding, now)
+        self.news.append(finding)
         record = self.record(attempt.server)
-        record.path_failures = 0
+        if attempt.started_at >= record.failed_start or not well:
+            record.path_failures = 0
         if well:
             self.note_latency(record, now - attempt.started_at)
 
@@ -230,15 +275,16 @@
             record.latency = elapsed
         record.latency += LATENCY_GAIN * (elapsed - record.latency)
 
-    def note_path_failure(self, server: BackendServerId, now: Instant) -> None:
+    def note_path_failure(self, attempt: RunningAttempt, now: Instant) -> None:
         """Notes that a server could not be reached or broke off."""
-        before = self.condition(server)
-        record = self.record(server)
+        before = self.condition(attempt.server)
+        record = self.record(attempt.server)
         record.path_failures += 1
         record.successes = 0
         record.last_failure = now
+        record.failed_start = max(record.failed_start, attempt.started_at)
         record.trial_at = Instant(now + self.pause(record))
-        self.log_change(server, before)
+        self.log_change(attempt.server, before)
 
     def log_change(self, server: BackendServerId, before: Condition) -> None:
         """Writes a line if the condition of a server has changed."""
@@ -254,21 +300,19 @@
                 path_failures=record.path_failures,
             )
 
-    def note(self, evidence: Evidence, now: Instant) -> None:
+    def note(self, finding: Finding, now: Instant) -> None:
         """Notes an answer of a server to this host or another one."""
-        record = self.record(evidence.server)
-        before = self.condition(evidence.server)
-        if evidence.well:
-            record.successes += 1
-            record.last_success = now
-            if record.successes >= RETURN_SUCCESSES:
-                record.failures = 0
+        record = self.record(finding.server)
+        before = self.condition(finding.server)
+        if finding.well:
+            note_success(record, finding.started_at)
         else:
             record.successes = 0
             record.failures += 1
             record.last_failure = now
+            record.failed_start = max(record.failed_start, finding.started_at)
             record.trial_at = Instant(now + self.pause(record))
-        self.log_change(evidence.server, before)
+        self.log_change(finding.server, before)
 
     def usual_latency(self, service: ServiceId) -> float:
         """Returns the median service time of a service in seconds."""
@@ -287,16 +331,17 @@
         Args:
             now: Present time.
         """
-        evidence = []
+        findings = []
         for server, record in self.records.items():
             failures = min(record.failures, OUT_FAILURES)
-            evidence.extend(Evidence(server, False) for _ in range(failures))
+            failed = Finding(server, False, record.failed_start)
+            findings.extend(failed for _ in range(failures))
             if not failures and now - record.last_success < RECENT_S:
-                evidence.append(Evidence(server, True))
-        return evidence
+                findings.append(Finding(server, True, record.last_success))
+        return [Evidence.of(finding, now) for finding in findings]
 
-    def take_news(self) -> list[Evidence]:
-        """Returns the evidence for the other hosts and forgets it."""
-        news = self.news
+    def take_news(self, now: Instant) -> list[Evidence]:
+        """Returns the findings for the other hosts and forgets them."""
+        news = [Evidence.of(finding, now) for finding in self.news]
         self.news = []
         return news
