Let a server that works again relieve full ones

Cause: with successes counted from their start, servers come back later.

Change: a server that is out counts as suspect after two successes, so it gets what would else wait.

--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -22,6 +22,9 @@
 # Successes in a row after which a server is well again. At a failure rate of
 # three in four, one success would readmit it wrongly in a quarter of trials.
 RETURN_SUCCESSES = 3
+# Successes in a row after which a server that is out is only suspect: a request
+# that would have to wait for a slot elsewhere may use it.
+PROMISING_SUCCESSES = 2
 # Pause before a suspect server is tried again; it doubles with each failure
 # in a row up to the maximum, which is below the usual length of a fault.
 TRIAL_PAUSE_S = 0.2
@@ -173,7 +176,10 @@
         record = self.records.get(server)
         if record is None:
             return Condition.WELL
-        if record.failures >= OUT_FAILURES:
+        if (
+            record.failures >= OUT_FAILURES
+            and record.successes < PROMISING_SUCCESSES
+        ):
             return Condition.OUT
         if record.failures or record.path_failures:
             return Condition.SUSPECT
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -185,6 +185,20 @@
 class TestBalance:
     """Choice of a server."""
 
+    def test_recovering_server_relieves_full_ones(self) -> None:
+        """Guards against refusals while a server has begun to work again."""
+        kernel = make_kernel()
+        add_servers(kernel, 2)
+        for now in (1, 1.2):
+            note_end(kernel, 's0', now)
+        for now in (1.5, 1.7):
+            note_end(kernel, 's0', now, status=200)
+        chosen = pick(kernel, False, 1.8)
+        assert chosen.known.server.id == 's1'
+        for _ in range(4):
+            kernel.service('balance').started('s1')
+        assert pick(kernel, False, 1.8).known.server.id == 's0'
+
     def test_unsafe_avoids_failing_servers(self) -> None:
         """Guards against a booking at a server that has just failed."""
         kernel = make_kernel()
