Let one host of each zone follow the configuration for the others

Every host kept a long poll, so each change of the configuration cost a call of every host, and each host that the store refused went on trying.

Change: the reader of a zone passes new configurations on. The time of a host's own latest read no longer goes back when a long poll ends that was sent earlier.

The test of a refused host now waits until the read that follows a newer version was due, 0.3 s later.

--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -1,9 +1,9 @@
 """Reads the store for a host and keeps its beliefs fresh.
 
-Every host waits for new configurations with long polls, which cost few
-calls. One host of each availability zone also reads the backend servers and
-confirms the configuration at short intervals, and vouches for both. The others
-read for themselves when they serve requests and nobody vouches.
+One host of each availability zone waits for new configurations with long polls
+and passes them on. It reads the backend servers and confirms the configuration
+at short intervals, and vouches for both. The others read for themselves when
+nobody vouches.
 """
 
 import asyncio
@@ -19,7 +19,6 @@
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import KeyedRecord, RecordPage, ServerEntry
 from teaselcove.ingress.gossip import Gossip, ServerNews
-from teaselcove.ingress.members import SETTLE_S
 from teaselcove.kernel import Kernel
 from teaselcove.platform import records
 from teaselcove.platform.store import StoreClient
@@ -29,6 +28,11 @@
 # Seconds that a long poll waits, below the store's maximum of 30 s. Keep-alive
 # probes find silent connections sooner.
 POLL_WAIT_S = 28
+# How often a host checks whether it has to.
+FOLLOW_CHECK_S = 0.1
+# A host that hears of a newer version gets it from the reader within this time
+# in seconds, or reads it itself.
+NEWS_WAIT_S = 0.3
 # A host that reads for its zone confirms the configuration at this interval
 # in seconds. Others confirm it themselves at a higher age; withdrawn keys must
 # stop within 5 s.
@@ -104,6 +108,7 @@
         self.store = store
         self.gossip = gossip
         gossip.outdated = self.outdated
+        self.reading = kernel.service('reading')
         self.followers = {
             topic: Follower(store, topic)
             for topic in (records.CONFIGURATION_TOPIC, records.SERVERS_TOPIC)
@@ -115,9 +120,9 @@
         self.reading_servers: asyncio.Task[None] | None = None
 
     def outdated(self) -> None:
-        """Reads the configuration because another host has a newer one.
+        """Gets the configuration because another host has a newer one.
 
-        All heartbeats say so until it is read, also while the store refuses
+        All heartbeats say so until it is known, also while the store refuses
         this host, so the reads are spaced.
         """
         now = boot_time()
@@ -125,7 +130,14 @@
             return
         self.outdated_at = now
         if self.confirming is None or self.confirming.done():
-            self.confirming = self.spawn(self.read_configuration)
+            self.confirming = self.spawn(self.catch_up)
+
+    async def catch_up(self) -> bool:
+        """Reads the configuration unless the reader passes a newer one on."""
+        catalog = self.kernel.service('catalog')
+        before = catalog.version
+        await asyncio.sleep(NEWS_WAIT_S)
+        return catalog.version > before or await self.read_configuration()
 
     def vouch(self) -> None:
         """Lets the other hosts of the zone know what was read."""
@@ -143,11 +155,13 @@
             )
             self.kernel.service('discovery').store_recovered(now)
         self.failures = 0
-        self.kernel.service('members').store_heard(now)
+        self.reading.heard(now)
 
     def failed(self, topic: str, error: Exception) -> None:
         """Notes a read without an answer."""
         self.failures += 1
+        if self.failures >= AWAY_FAILURES:
+            self.reading.lost(boot_time())
         if self.failures == AWAY_FAILURES:
             log.warning(
                 'store-lost',
@@ -160,6 +174,9 @@
         pause = FIRST_PAUSE_S
         while True:
             first = self.followers[topic].offset is None
+            if not first and not self.reading.must_follow(boot_time()):
+                await asyncio.sleep(FOLLOW_CHECK_S)
+                continue
             wait = 0 if first else POLL_WAIT_S
             if await self.read_configuration(wait):
                 pause = FIRST_PAUSE_S
@@ -175,21 +192,27 @@
         except (StoreUnavailableError, CodecError) as error:
             self.failed(topic, error)
             return False
-        self.answered(boot_time())
-        for item in page.records:
-            self.take_configuration(item)
+        now = boot_time()
+        self.answered(now)
+        taken = [self.take_configuration(item) for item in page.records]
         # The store accepts valid configurations only, so a record that
         # cannot be read withdraws no key.
+        catalog = self.kernel.service('catalog')
         if page.is_whole:
-            catalog = self.kernel.service('catalog')
             catalog.confirm(page.asked_at)
-            catalog.read_at = page.asked_at
+            read_at = catalog.read_at or page.asked_at
+            # A long poll may have been sent before another read.
+            catalog.read_at = max(read_at, page.asked_at)
+            self.reading.contact(page.asked_at)
+        if any(taken) and self.reading.is_reader(now):
+            self.gossip.send_configuration(catalog.configuration)
+            self.vouch()
         return True
 
-    def take_configuration(self, record: KeyedRecord) -> None:
-        """Puts a configuration in force."""
+    def take_configuration(self, record: KeyedRecord) -> bool:
+        """Puts a configuration in force; returns whether it is new."""
         if record.key != records.CONFIGURATION_KEY or record.value is None:
-            return
+            return False
         try:
             configuration = records.decode_configuration(record.value)
         except CodecError as error:
@@ -197,10 +220,11 @@
                 'configuration-unreadable',
                 extra={'figures': {'offset': record.offset, 'why': str(error)}},
             )
-            return
+            return False
         catalog = self.kernel.service('catalog')
         before = catalog.version
-        if catalog.adopt(configuration):
+        changed = catalog.adopt(configuration)
+        if changed:
             log.info(
                 'configuration',
                 extra={
@@ -211,6 +235,7 @@
                     }
                 },
             )
+        return changed
 
     async def confirm(self) -> None:
         """Lets the store confirm the configuration, within a short time."""
@@ -239,18 +264,6 @@
             self.reading_servers = self.spawn(self.read_servers)
         await asyncio.wait([self.reading_servers], timeout=CONFIRM_WAIT_S)
 
-    def is_reader(self, now: Instant) -> bool:
-        """Returns whether this host reads for its availability zone.
-
-        A host that has just started does not yet know the others, and all
-        hosts may have started together.
-        """
-        members = self.kernel.service('members')
-        if now - members.started_at < SETTLE_S:
-            return False
-        in_use = members.in_use(now)
-        return bool(in_use) and in_use[0] == members.own
-
     async def keep_fresh(self) -> None:
         """Reads the store at intervals, for the zone or when need be.
 
@@ -262,7 +275,7 @@
             await asyncio.sleep(MAX_PAUSE_S)
         while True:
             now = boot_time()
-            if self.is_reader(now):
+            if self.reading.is_reader(now):
                 await self.read_for_zone(now)
                 await asyncio.sleep(interval)
                 continue
@@ -295,7 +308,7 @@
         now = boot_time()
         self.answered(now)
         discovery = self.kernel.service('discovery')
-        tell = self.is_reader(now) and not complete
+        tell = self.reading.is_reader(now) and not complete
         for record in page.records:
             changed = self.take_server(record, now)
             if changed and tell:
@@ -306,6 +319,7 @@
         if page.is_whole:
             discovery.confirm(page.asked_at)
             discovery.own_read_at = page.asked_at
+            self.reading.contact(page.asked_at)
         return True
 
     def take_server(self, record: KeyedRecord, now: Instant) -> bool:
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -16,7 +16,11 @@
     Version,
 )
 from teaselcove.ingress.clock import boot_time
-from teaselcove.ingress.entities import HostRecord, ServerEntry
+from teaselcove.ingress.entities import (
+    HostRecord,
+    IngressConfiguration,
+    ServerEntry,
+)
 from teaselcove.ingress.health import Evidence
 from teaselcove.ingress.members import HEARTBEAT_INTERVAL_S
 from teaselcove.ingress.tokens import (
@@ -63,6 +67,9 @@
             the newest, if the sender has read the store since; or None.
         servers: Digest of the backend servers that the sender knows.
         servers_as_of: The same as `keys_as_of` for these servers.
+        can_read: Whether the store has not refused the sender lately.
+        followed_as_of: The same as `keys_as_of` for a sender that waits for
+            new configurations, whether or not the version is the newest.
     """
 
     record: HostRecord
@@ -74,6 +81,15 @@
     keys_as_of: Instant | None
     servers: int
     servers_as_of: Instant | None
+    can_read: bool
+    followed_as_of: Instant | None
+
+
+@message('configuration-news')
+class ConfigurationNews(msgspec.Struct, frozen=True, array_like=True):
+    """A configuration that the reader of a zone has found."""
+
+    configuration: IngressConfiguration
 
 
 @message('server-news')
@@ -138,6 +154,7 @@
             Heartbeat: self.take_heartbeat,
             Report: self.take_report,
             ServerNews: self.take_server,
+            ConfigurationNews: self.take_configuration,
             TokensWanted: self.tokens.wanted,
             TokensGiven: self.tokens.given,
             CrashSuspected: self.take_suspicion,
@@ -199,7 +216,12 @@
         renewed = known is None or known.record != beat.record
         was_in_use = known is not None and known.is_in_use
         appeared = self.members.heard(
-            beat.record, beat.leaving, beat.in_use, frozenset(beat.hears), now
+            beat.record,
+            beat.leaving,
+            beat.in_use,
+            frozenset(beat.hears),
+            now,
+            beat.can_read,
         )
         self.kernel.service('vouching').note(
             beat.record.host, beat.sent_at, now
@@ -230,6 +252,9 @@
         known = beat.servers_as_of is not None
         if known and beat.servers == discovery.digest:
             discovery.confirm(min(beat.servers_as_of, now))
+        if beat.followed_as_of is not None:
+            reading = self.kernel.service('reading')
+            reading.followed(min(beat.followed_as_of, now))
 
     def take_server(
         self, sender: HostId, news: ServerNews, now: Instant
@@ -241,6 +266,24 @@
         else:
             discovery.note(news.entry, news.offset, now)
 
+    def take_configuration(
+        self, sender: HostId, news: ConfigurationNews, now: Instant
+    ) -> None:
+        """Puts a configuration in force that another host has read."""
+        catalog = self.kernel.service('catalog')
+        before = catalog.version
+        if catalog.adopt(news.configuration):
+            log.info(
+                'configuration',
+                extra={
+                    'figures': {
+                        'version': catalog.version,
+                        'before': before,
+                        'peer': sender,
+                    }
+                },
+            )
+
     def take_report(self, sender: HostId, report: Report, now: Instant) -> None:
         """Takes over evidence and counts of attempts."""
         health = self.kernel.service('health')
@@ -323,6 +366,7 @@
         catalog = self.kernel.service('catalog')
         discovery = self.kernel.service('discovery')
         vouching = self.kernel.service('vouching')
+        reading = self.kernel.service('reading')
         return Heartbeat(
             self.own,
             self.members.leaving,
@@ -333,6 +377,8 @@
             vouching.time_for(host, catalog.read_at),
             discovery.digest,
             vouching.time_for(host, discovery.own_read_at),
+            reading.can_read(now),
+            reading.followed_as_of(host, now),
         )
 
     def send_server(self, news: ServerNews) -> None:
@@ -340,6 +386,12 @@
         for peer in self.members.live(self.own.zone, boot_time()):
             self.transport.send(peer.record.host, news)
 
+    def send_configuration(self, configuration: IngressConfiguration) -> None:
+        """Passes a new configuration on to the hosts of the own zone."""
+        news = ConfigurationNews(configuration)
+        for peer in self.members.live(self.own.zone, boot_time()):
+            self.transport.send(peer.record.host, news)
+
     def send_report(self, now: Instant) -> None:
         """Sends evidence; failures at once, the rest now and then."""
         health = self.kernel.service('health')
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -41,6 +41,7 @@
         heard_at: When its latest heartbeat arrived, or None.
         appeared_at: Since when it has been heard without a silence.
         hears: Hosts of its zone that it hears.
+        can_read: Whether the store has not refused it lately.
     """
 
     record: HostRecord
@@ -49,6 +50,7 @@
     leaving: bool = False
     is_in_use: bool = False
     hears: frozenset[HostId] = frozenset()
+    can_read: bool = True
 
 
 @ingress_services.register('members')
@@ -59,7 +61,6 @@
         own: This host's record.
         started_at: When the process started.
         resumed_at: When the process last ran on after a pause.
-        store_heard_at: When the store last answered.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -69,7 +70,6 @@
         self.started_at = Instant(0)
         self.resumed_at = Instant(0)
         self.ticked_at: Instant | None = None
-        self.store_heard_at: Instant | None = None
         self.leaving = False
 
     def start(self, own: HostRecord, now: Instant) -> None:
@@ -86,10 +86,6 @@
             self.resumed_at = now
         return paused
 
-    def store_heard(self, now: Instant) -> None:
-        """Notes an answer of the store."""
-        self.store_heard_at = now
-
     def note_record(self, record: HostRecord) -> bool:
         """Notes a host's record in the store; returns whether it is new."""
         own = self.own is not None and record.host == self.own.host
@@ -105,6 +101,7 @@
         in_use: bool,
         hears: frozenset[HostId],
         now: Instant,
+        can_read: bool = True,
     ) -> bool:
         """Notes a heartbeat; returns whether its sender was not heard."""
         peer = self.peers.get(record.host)
@@ -120,6 +117,7 @@
         peer.leaving = leaving
         peer.is_in_use = in_use
         peer.hears = hears
+        peer.can_read = can_read
         return was_silent
 
     def is_live(self, peer: Peer, now: Instant) -> bool:
@@ -152,11 +150,15 @@
 
     def in_use(self, now: Instant) -> list[HostRecord]:
         """Returns the hosts that callers of the own zone should use."""
+        places = self.kernel.settings.ingress.hosts_in_use
+        return self.in_order(now)[:places]
+
+    def in_order(self, now: Instant) -> list[HostRecord]:
+        """Returns the hosts of the own zone, first those to be in use."""
         records = [peer.record for peer in self.live(self.zone, now)]
         if self.own is not None and self.is_fit(now):
             records.append(self.own)
-        records.sort(key=rank)
-        return records[: self.kernel.settings.ingress.hosts_in_use]
+        return sorted(records, key=rank)
 
     @property
     def zone(self) -> ZoneName:
@@ -174,7 +176,8 @@
             return False
         live = self.live(self.zone, now)
         if not live:
-            return self.hears_store(now) or not self.peers
+            reading = self.kernel.service('reading')
+            return reading.hears_store(now) or not self.peers
         host = self.kernel.settings.host
         listeners = [
             host in peer.hears
@@ -183,11 +186,6 @@
         ]
         return 2 * sum(listeners) >= len(listeners)
 
-    def hears_store(self, now: Instant) -> bool:
-        """Returns whether the store answered lately."""
-        heard = self.store_heard_at
-        return heard is not None and now - heard < 2 * SILENCE_S
-
     def is_in_use(self, now: Instant) -> bool:
         """Returns whether callers are told to use this host."""
         return self.own is not None and self.own in self.in_use(now)
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -16,6 +16,7 @@
     'members',
     'queueing',
     'quotas',
+    'reading',
     'retry_window',
     'vouching',
 )
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -6,8 +6,12 @@
 
 from teaselcove.errors import HistoryLostError, StoreUnavailableError
 from teaselcove.ids import Instant
-from teaselcove.ingress.entities import KeyedRecord, RecordPage
-from teaselcove.ingress.freshness import Follower, Freshness
+from teaselcove.ingress.entities import (
+    IngressConfiguration,
+    KeyedRecord,
+    RecordPage,
+)
+from teaselcove.ingress.freshness import NEWS_WAIT_S, Follower, Freshness
 from tests.ingress_support import configuration, make_kernel
 
 HEARTBEATS = 50
@@ -30,12 +34,19 @@
 
     outdated = None
 
+    def send_configuration(self, configuration: IngressConfiguration) -> None:
+        """Drops it."""
+
+    def send_heartbeats(self, now: Instant) -> None:
+        """Drops them."""
+
 
 async def hear_newer_versions(freshness: Freshness) -> None:
     """Plays heartbeats of hosts that have a newer version."""
     for _ in range(HEARTBEATS):
         freshness.outdated()
         await asyncio.sleep(0)
+    await asyncio.sleep(2 * NEWS_WAIT_S)
 
 
 class RacingStore:
