Take a server that resets twice in a row for out

Failures of the path made a server suspect at the most, and a suspect one is used when all that are well are full. One that resets at once always has room.

Change: two failures of the path in a row put a server out for this host.

--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -176,10 +176,10 @@
         record = self.records.get(server)
         if record is None:
             return Condition.WELL
-        if (
-            record.failures >= OUT_FAILURES
-            and record.successes < PROMISING_SUCCESSES
-        ):
+        if record.path_failures >= OUT_FAILURES:
+            return Condition.OUT
+        promising = record.successes >= PROMISING_SUCCESSES
+        if record.failures >= OUT_FAILURES and not promising:
             return Condition.OUT
         if record.failures or record.path_failures:
             return Condition.SUSPECT
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -218,6 +218,19 @@
             kernel.service('balance').started('s1')
         assert pick(kernel, False, 1.1) is None
 
+    def test_waits_rather_than_use_a_server_that_resets(self) -> None:
+        """Guards against bookings for a server that resets connections.
+
+        It always has room, since it never works.
+        """
+        kernel = make_kernel()
+        add_servers(kernel, 2)
+        for now in (1, 1.1):
+            note_end(kernel, 's0', now, AttemptResult.BROKEN, None)
+        for _ in range(4):
+            kernel.service('balance').started('s1')
+        assert pick(kernel, False, 1.2) is None
+
     def test_all_out(self) -> None:
         """Guards against refusing all while servers might work."""
         kernel = make_kernel()
