Prefer fresh servers over idle ones, and the own zone more

Cause: failing servers answer at once, so a booking is lost with the first request of each fault at each server in use; the fewer servers take bookings, the fewer faults they meet. Slots in use cost as much as 0.6 s without a success, so bookings went to idle servers instead of those that had just worked.

Change: LOAD_COST 0.05 to 0.005, OTHER_ZONE_COST 0.04 to 0.08.

--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -22,9 +22,9 @@
 MAX_RISK = 0.3
 # Traffic between availability zones costs about as much as this share of a
 # request's worth.
-OTHER_ZONE_COST = 0.04
+OTHER_ZONE_COST = 0.08
 # Slots in use make an answer slower.
-LOAD_COST = 0.05
+LOAD_COST = 0.005
 # A request that has to wait at the server for another one to end.
 FULL_COST = 0.2
 # Each multiple of the usual service time of the service.
