Bound the size and time of callers' headers by the configuration

Cause: of the four limits of callers that a configuration holds, the size and the time of headers were not applied (left open in docs/proof.md), so a caller could fill memory or hold a connection with headers that never end.

All limits reach the listener as one value.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -44,7 +44,8 @@
 # A little above the idle time of callers, so that a connection is not
 # closed just as a request is written to it.
 IDLE_MARGIN_S = 2
-DEFAULT_IDLE_S = 75
+# Headers of a caller whose link is slow may be under way at their time limit.
+HEADER_MARGIN_S = 1
 HOUSEKEEPING_S = 1
 # Time for other hosts that start together to register.
 REGISTER_PAUSE_S = 0.25
@@ -126,12 +127,17 @@
             return min(share, MAX_BODY_BYTES)
         return min(share, configuration.limits.max_body_bytes)
 
-    def idle_timeout(self) -> float:
-        """Returns for how long a caller's connection may be idle."""
+    def connection_limits(self) -> listener.ConnectionLimits:
+        """Returns what a caller's connection may do."""
         configuration = self.service('catalog').configuration
         if configuration is None:
-            return DEFAULT_IDLE_S
-        return configuration.limits.idle_timeout + IDLE_MARGIN_S
+            return listener.ConnectionLimits()
+        limits = configuration.limits
+        return listener.ConnectionLimits(
+            limits.idle_timeout + IDLE_MARGIN_S,
+            limits.header_timeout + HEADER_MARGIN_S,
+            limits.max_header_bytes,
+        )
 
     def metrics(self) -> str:
         """Returns counters, histograms and ages of beliefs."""
@@ -204,14 +210,14 @@
         """Opens the listeners."""
         own = OwnEndpoint(self)
         self.callers = listener.Listener(
-            CallerEndpoint(self), self.boot.caller_address, self.idle_timeout
+            CallerEndpoint(self),
+            self.boot.caller_address,
+            self.connection_limits,
         )
         self.listeners = [
             self.callers,
-            listener.Listener(own, self.boot.ready_address, self.idle_timeout),
-            listener.Listener(
-                own, self.boot.resolve_address, self.idle_timeout
-            ),
+            listener.Listener(own, self.boot.ready_address),
+            listener.Listener(own, self.boot.resolve_address),
         ]
         for opened in self.listeners:
             await opened.start()
