Move the messages between hosts into a module of their own

Change: the structs of the messages are in ingress/peer_messages.py; no behaviour changes. Tests of the package pass.

--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -18,7 +18,8 @@
 from teaselcove.ids import BackendServerId, Instant
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import KeyedRecord, RecordPage, ServerEntry
-from teaselcove.ingress.gossip import Gossip, ServerNews
+from teaselcove.ingress.gossip import Gossip
+from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.kernel import Kernel
 from teaselcove.platform import records
 from teaselcove.platform.store import StoreClient
--- a/tests/test_ingress_reading.py
+++ b/tests/test_ingress_reading.py
@@ -10,7 +10,7 @@
     RecordPage,
 )
 from teaselcove.ingress.freshness import FOLLOW_CHECK_S, Freshness
-from teaselcove.ingress.gossip import ConfigurationNews
+from teaselcove.ingress.peer_messages import ConfigurationNews
 from teaselcove.ingress.reading import (
     FOLLOW_AGE_S,
     FOLLOW_START_S,
