Make trials only with calls that can be repeated; leave them out of new work

Change: a trial needs budget for a second attempt. The figure leaves out exactly the calls that were trials and no longer allows any other call, which is stricter at low rates.

--- a/teaselcove/ejection.py
+++ b/teaselcove/ejection.py
@@ -168,9 +168,10 @@
         self, service: Service, idempotent: bool, now: Instant
     ) -> BackendServerId | None:
         """Returns a server to try with a call that may be repeated."""
-        if not idempotent:
+        if not idempotent or self.is_quiet(service, now):
             return None
-        if self.is_quiet(service, now):
+        if not self.kernel.service('retries').budget.has(service.id):
+            # A trial that fails without a second attempt loses the call.
             return None
         states = self.states(service, now)
         for server in sorted(self.out(service, states, now)):
--- a/teaselcove/experiment.py
+++ b/teaselcove/experiment.py
@@ -32,7 +32,9 @@
 # The servers that scenarios make faulty, in different availability zones.
 VICTIM = 4
 SECOND_VICTIM = 8
-KEPT_DECISIONS = frozenset(('eject', 'readmit', 'retry', 'hedge', 'refuse'))
+KEPT_DECISIONS = frozenset(
+    ('eject', 'readmit', 'retry', 'hedge', 'refuse', 'trial')
+)
 
 
 def assign(target: Any, field: str, value: Any, now: Instant) -> None:
--- a/teaselcove/figures.py
+++ b/teaselcove/figures.py
@@ -9,12 +9,12 @@
 from teaselcove.errors import Outcome, Reason
 from teaselcove.events import AttemptResult
 from teaselcove.experiment import CALLS_FROM_S, DRAIN_S, Experiment, Span
-from teaselcove.ids import HostId
+from teaselcove.ids import BackendServerId, HostId
 from teaselcove.watcher import Watcher
 
-# A host that still gives a faulty server less than this share of the calls
-# of an average server gives it trial calls only.
-TRIAL_SHARE = 0.1
+# A faulty server that gets more than this share of the calls of an average
+# server, beside trial calls, still gets new work.
+LATE_SHARE = 0.1
 WINDOW_S = 0.5
 BUDGET_WINDOW_S = 5
 NOT_STARTED = frozenset(
@@ -177,20 +177,32 @@
     """Returns the seconds until a faulty server got trial calls at most."""
     window: Counter[int] = Counter()
     total: Counter[int] = Counter()
+    trials = trial_calls(run)
     for at, host, server, _ in run.model.dials:
         if at >= span.start and span.concerns(host):
             index = int((at - span.start) / WINDOW_S)
             total[index] += 1
-            window[index] += server == span.server
-    count = len(run.servers)
+            if server == span.server and (at, host, server) not in trials:
+                window[index] += 1
     busy = [
         index
         for index, dials in window.items()
-        if dials > max(1, TRIAL_SHARE * total[index] / count)
+        if dials > LATE_SHARE * total[index] / len(run.servers)
     ]
     return (max(busy) + 1) * WINDOW_S if busy else float(0)
 
 
+def trial_calls(
+    run: Experiment,
+) -> frozenset[tuple[float, HostId, BackendServerId]]:
+    """Returns when, by which host and at which server trials were made."""
+    return frozenset(
+        (at, host, decision.figures['server'])
+        for at, host, decision in run.decisions
+        if decision.kind == 'trial'
+    )
+
+
 def retry_shares(run: Experiment) -> tuple[float, float]:
     """Returns retries and hedges as a share of calls, overall and at worst."""
     calls: Counter[int] = Counter()
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -5,7 +5,7 @@
 
 from teaselcove.deployments import Deployment, deployments
 from teaselcove.experiment import Conditions
-from teaselcove.figures import Figures
+from teaselcove.figures import Figures, trial_calls
 from teaselcove.measure import Measured, measure
 from teaselcove.scenarios import scenarios
 
@@ -88,6 +88,27 @@
         assert figures.false_ejections == 0
         assert figures.floor_violations == 0
 
+    @pytest.mark.parametrize('seed', [1, 2])
+    def test_trial_calls_are_answered(self, seed: int) -> None:
+        """Guards against trials that lose a call for want of a retry."""
+        conditions = Conditions(
+            deployments.get('brunnwerk'), rate=10, seed=seed
+        )
+        run = measure(scenarios.get('stall'), conditions, 'default').run
+        trials = trial_calls(run)
+        tried = {
+            request
+            for at, host, server, request in run.model.dials
+            if (at, host, server) in trials
+        }
+        refused = {
+            decision.figures['request']
+            for _, _, decision in run.decisions
+            if decision.kind == 'refuse'
+        }
+        assert tried
+        assert not tried & refused
+
     @pytest.mark.parametrize('name', ['overload', 'cold-start'])
     def test_no_false_ejection(self, name: str) -> None:
         """Guards against ejecting servers that are all slow or cold."""
