Blame no request for a crash that has just been completed

It was running at the server that the crashing request hit first, was tried again at the second one and hit there too, so all hosts blocked it for 60 s.

Change: a request that a server completed in the last 10 s is not suspected. A host that gets a block for a request which it has seen completed answers that, and the host that has blocked it tells all.

--- a/teaselcove/crashes.py
+++ b/teaselcove/crashes.py
@@ -13,6 +13,9 @@
 # Servers that one request may hurt before it is refused.
 MAX_HURT = 2
 MAX_KNOWN = 1024
+# A request that completed this long ago in seconds or less is not the cause of
+# a crash: popular look-ups are often running at several servers that crash.
+PROVEN_S = 10
 
 
 @message('crash-suspect')
@@ -67,12 +70,26 @@
 
     Attributes:
         max_hurt: Servers that one request may hurt before it is refused.
+        completed: When each request was last completed here.
     """
 
     def __init__(self, max_hurt: int = MAX_HURT) -> None:
         self.max_hurt = max_hurt
         self.suspects: OrderedDict[bytes, Suspect] = OrderedDict()
         self.blocked: OrderedDict[bytes, Instant] = OrderedDict()
+        self.completed: OrderedDict[bytes, Instant] = OrderedDict()
+
+    def note_completed(self, digest: bytes, now: Instant) -> None:
+        """Notes that a server has completed a request."""
+        self.completed[digest] = now
+        self.completed.move_to_end(digest)
+        if len(self.completed) > MAX_KNOWN:
+            self.completed.popitem(last=False)
+
+    def is_proven(self, digest: bytes, now: Instant) -> bool:
+        """Returns whether a server has completed a request lately."""
+        completed = self.completed.get(digest)
+        return completed is not None and now - completed <= PROVEN_S
 
     def note_crash(
         self, digest: bytes, server: BackendServerId, now: Instant
@@ -86,7 +103,7 @@
         """
         suspect = self.suspects.pop(digest, None)
         if suspect is None or self.is_old(suspect, now):
-            suspect = Suspect({})
+            suspect = Suspect({}, innocent=self.is_proven(digest, now))
         suspect.hurt[server] = now
         self.suspects[digest] = suspect
         if len(self.suspects) > MAX_KNOWN:
--- a/teaselcove/retries.py
+++ b/teaselcove/retries.py
@@ -56,6 +56,7 @@
         self.kernel = kernel
         self.budget = RetryBudget()
         self.crashes = CrashTable()
+        self.blocked_here: set[bytes] = set()
 
     def started(
         self, state: RequestState, attempt: Attempt, now: Instant
@@ -120,12 +121,15 @@
             self.note_complete(attempt, now)
         # A truncated answer has a status; a server that crashes gives none.
         elif event.result is AttemptResult.BROKEN and event.status is None:
+            if self.crashes.is_proven(digest, now):
+                return
             suspicion = CrashSuspected(digest, attempt.server)
             self.tell(suspicion, attempt, now)
             self.note_crash(suspicion, now)
 
     def note_complete(self, attempt: Attempt, now: Instant) -> None:
         """Clears a suspected request that a server has completed."""
+        self.crashes.note_completed(attempt.body_digest, now)
         if self.crashes.clear(attempt.body_digest):
             self.tell(CrashCleared(attempt.body_digest), attempt, now)
 
@@ -137,6 +141,9 @@
         if self.is_crashing(digest, now):
             return
         self.crashes.block(digest, Instant(now + BLOCKED_S))
+        self.blocked_here = {
+            known for known in self.blocked_here if self.is_crashing(known, now)
+        } | {digest}
         self.kernel.decide(
             'block',
             digest=digest.hex(),
@@ -187,14 +194,24 @@
     def crash_cleared(
         self, sender: HostId, cleared: CrashCleared, now: Instant
     ) -> None:
-        """Clears a request that another host saw complete."""
+        """Clears a request that another host saw complete.
+
+        The host that has blocked it tells all.
+        """
         self.crashes.clear(cleared.digest)
+        if cleared.digest in self.blocked_here:
+            self.blocked_here.discard(cleared.digest)
+            for host in self.peers():
+                self.kernel.emit(Send(host, cleared))
 
     @on(CrashBlocked)
     def crash_blocked(
         self, sender: HostId, block: CrashBlocked, now: Instant
     ) -> None:
         """Refuses a request that another host found to crash servers."""
+        if self.crashes.is_proven(block.digest, now):
+            self.kernel.emit(Send(sender, CrashCleared(block.digest)))
+            return
         duration = min(block.duration, BLOCKED_S)
         self.crashes.block(block.digest, Instant(now + duration))
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,7 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from teaselcove.crashes import MAX_KNOWN, CrashBlocked, CrashTable
+from teaselcove.crashes import (
+    MAX_KNOWN,
+    PROVEN_S,
+    SUSPECT_S,
+    CrashBlocked,
+    CrashCleared,
+    CrashTable,
+)
 from teaselcove.effects import Answer, Dial, Refuse, Send
 from teaselcove.errors import Outcome, Reason
 from teaselcove.events import (
@@ -83,6 +90,16 @@
             assert table.clear(b'd')
         assert not table.note_crash(b'd', 'job-2', later)
 
+    def test_popular_request(self) -> None:
+        """Guards against blame for look-ups that complete all the time."""
+        table = CrashTable()
+        table.note_completed(b'd', 1)
+        table.note_crash(b'd', 'job-1', 2)
+        assert not table.note_crash(b'd', 'job-2', 2)
+        later = 3 + PROVEN_S + SUSPECT_S
+        table.note_crash(b'd', 'job-1', later)
+        assert table.note_crash(b'd', 'job-2', later)
+
     def test_expiry_and_bound(self) -> None:
         """Guards against a block for ever and against unbounded memory."""
         table = CrashTable()
@@ -142,6 +159,31 @@
         self.crash(there, 'c2', 2.3)
         assert only(there.handle(arrival('c3'), 2.4), Dial)
 
+    def test_block_of_a_popular_request(self) -> None:
+        """Guards against a block by a host that has not seen it complete."""
+        here, there = make_kernel(), make_kernel()
+        hosts = HostsListed((host_entry(1), host_entry(2)))
+        for kernel in (here, there):
+            kernel.handle(hosts, 1)
+        first = only(there.handle(arrival('c1', method='POST'), 1), Dial)
+        done = AttemptFinished(first.attempt_id, AttemptResult.COMPLETE, 200)
+        there.handle(done, 1.1)
+        for number in range(2):
+            effects = self.crash(here, f'd{number}', 2)
+        block = next(
+            sent.message
+            for sent in of_type(effects, Send)
+            if isinstance(sent.message, CrashBlocked)
+        )
+        effects = there.handle(PeerMessageReceived('host-1', 1, block), 2)
+        cleared = next(
+            sent.message
+            for sent in of_type(effects, Send)
+            if isinstance(sent.message, CrashCleared)
+        )
+        here.handle(PeerMessageReceived('host-2', 1, cleared), 2.1)
+        assert only(here.handle(arrival('c3', method='POST'), 2.2), Dial)
+
     def test_block_ends(self) -> None:
         """Guards against a peer that blocks a request for longer."""
         kernel = make_kernel()
