Read the servers before a request once the store may be back

Since hosts no longer keep a long poll each, a host that serves little makes no read that would show the return, and with two failed reads on record a request did not wait for a read, however long ago they were.

Change: a request waits for a read if what is known is too old, unless two reads failed and the latest within 0.5 s; a second read follows one that fails. The same before each further attempt. Three tests with a store that fails and returns; the one of a returned store plays this cause.

With it, found by reading: the reader is determined once for all heartbeats of a round instead of once for each (the rank of a host is kept, too); waiting for a configuration from the reader no longer takes the place of a read that confirms keys; a request that may not wait is logged with the queue, its rate and whether it stands (kind queue-refused).

--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -29,7 +29,7 @@
 # Seconds that a long poll waits, below the store's maximum of 30 s. Keep-alive
 # probes find silent connections sooner.
 POLL_WAIT_S = 28
-# How often a host checks whether it has to.
+# Seconds between checks of a host whether it has to follow itself.
 FOLLOW_CHECK_S = 0.1
 # A host that hears of a newer version gets it from the reader within this time
 # in seconds, or reads it itself.
@@ -42,6 +42,9 @@
 # Age in seconds at which a host that serves requests reads the servers
 # itself; one that leaves must get no work after 2 s.
 SERVERS_AGE_S = 1.6
+# Seconds that a request needs to reach a server, before which the bound for
+# leaving servers must not have passed.
+SERVERS_MARGIN_S = 0.2
 # Time in seconds between reads because another host has a newer version.
 OUTDATED_INTERVAL_S = 0.8
 # Seconds that a request waits for the store to confirm.
@@ -52,6 +55,9 @@
 MAX_PAUSE_S = 1.5
 # A host that served no request for this long stops to read the servers.
 IDLE_S = 4
+# Requests do not wait for the store again within this time in seconds after a
+# read that failed.
+AWAY_PAUSE_S = 0.5
 # Failures in a row after which the store counts as away.
 AWAY_FAILURES = 2
 
@@ -99,6 +105,7 @@
     Attributes:
         served_at: When the host last served a request.
         failures: Reads in a row that failed.
+        failed_at: When the latest of them failed.
         outdated_at: When a newer version elsewhere last caused a read.
     """
 
@@ -116,8 +123,10 @@
         }
         self.served_at = Instant(float('-inf'))
         self.failures = 0
+        self.failed_at = Instant(float('-inf'))
         self.outdated_at = Instant(float('-inf'))
         self.confirming: asyncio.Task[None] | None = None
+        self.catching_up: asyncio.Task[None] | None = None
         self.reading_servers: asyncio.Task[None] | None = None
 
     def outdated(self) -> None:
@@ -130,8 +139,8 @@
         if now - self.outdated_at < OUTDATED_INTERVAL_S:
             return
         self.outdated_at = now
-        if self.confirming is None or self.confirming.done():
-            self.confirming = self.spawn(self.catch_up)
+        if self.catching_up is None or self.catching_up.done():
+            self.catching_up = self.spawn(self.catch_up)
 
     async def catch_up(self) -> bool:
         """Reads the configuration unless the reader passes a newer one on."""
@@ -160,9 +169,11 @@
 
     def failed(self, topic: str, error: Exception) -> None:
         """Notes a read without an answer."""
+        now = boot_time()
         self.failures += 1
+        self.failed_at = now
         if self.failures >= AWAY_FAILURES:
-            self.reading.lost(boot_time())
+            self.reading.lost(now)
         if self.failures == AWAY_FAILURES:
             log.warning(
                 'store-lost',
@@ -253,17 +264,31 @@
         return asyncio.get_running_loop().create_task(work())
 
     async def ensure_servers(self) -> None:
-        """Reads the servers first if what is known is too old."""
-        now = boot_time()
-        self.served_at = now
+        """Reads the servers first if what is known is too old.
+
+        A second read follows one that fails, since a kept connection may have
+        been closed. While the store is away, requests do not wait for it.
+        """
+        self.served_at = boot_time()
+        for _ in range(AWAY_FAILURES):
+            if not self.should_read_servers(boot_time()):
+                return
+            if self.reading_servers is None or self.reading_servers.done():
+                self.reading_servers = self.spawn(self.read_servers)
+            reading = self.reading_servers
+            await asyncio.wait([reading], timeout=CONFIRM_WAIT_S)
+            if not reading.done():
+                return
+
+    def should_read_servers(self, now: Instant) -> bool:
+        """Returns whether a request has to wait for a read of the servers."""
         discovery = self.kernel.service('discovery')
-        if discovery.age(now) < self.kernel.settings.bounds.drain - 0.2:
-            return
-        if self.failures >= AWAY_FAILURES and discovery.read_at is not None:
-            return
-        if self.reading_servers is None or self.reading_servers.done():
-            self.reading_servers = self.spawn(self.read_servers)
-        await asyncio.wait([self.reading_servers], timeout=CONFIRM_WAIT_S)
+        bound = self.kernel.settings.bounds.drain - SERVERS_MARGIN_S
+        if discovery.age(now) < bound:
+            return False
+        away = self.failures >= AWAY_FAILURES
+        lately = now - self.failed_at < AWAY_PAUSE_S
+        return not (away and lately and discovery.read_at is not None)
 
     async def keep_fresh(self) -> None:
         """Reads the store at intervals, for the zone or when need be.
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -69,6 +69,8 @@
     Attributes:
         outdated: Called when another host has a newer configuration.
         announcements: Heartbeats that are still to go to all hosts.
+        hears: Hosts of the zone that were heard at the last heartbeat.
+        is_reader: Whether this host read for its zone then.
     """
 
     def __init__(
@@ -81,6 +83,8 @@
         self.beats = 0
         self.reports = 0
         self.was_in_use = False
+        self.hears: tuple[HostId, ...] = ()
+        self.is_reader = False
         self.announcements = 0
         self.reported: dict[BackendServerId, int] = {}
         self.loads: dict[HostId, PeerLoad] = {}
@@ -271,17 +275,20 @@
         announce = self.announcements > 0 or self.beats % ANNOUNCE_BEATS == 0
         self.announcements = max(0, self.announcements - 1)
         self.was_in_use = in_use
-        hears = tuple(self.members.heard_hosts(now))
+        self.is_reader = self.kernel.service('reading').is_reader(now)
+        self.hears = tuple(self.members.heard_hosts(now))
         near = [
             host
             for host, peer in self.members.peers.items()
             if peer.record.zone == self.own.zone
         ]
         for host in near:
-            self.transport.send(host, self.heartbeat(host, hears, now))
+            self.transport.send(host, self.heartbeat(host, True, now))
         if in_use:
             for distant in self.distant_hosts(announce, now):
-                self.transport.send(distant, self.heartbeat(distant, (), now))
+                self.transport.send(
+                    distant, self.heartbeat(distant, False, now)
+                )
         self.beats += 1
 
     def distant_hosts(self, announce: bool, now: Instant) -> list[HostId]:
@@ -297,10 +304,14 @@
             record.host for record in records if record.zone != self.own.zone
         ]
 
-    def heartbeat(
-        self, host: HostId, hears: tuple[HostId, ...], now: Instant
-    ) -> Heartbeat:
-        """Returns the heartbeat for a host."""
+    def heartbeat(self, host: HostId, near: bool, now: Instant) -> Heartbeat:
+        """Returns the heartbeat for a host.
+
+        Args:
+            host: The host.
+            near: Whether it is in the own availability zone.
+            now: Present time.
+        """
         catalog = self.kernel.service('catalog')
         discovery = self.kernel.service('discovery')
         vouching = self.kernel.service('vouching')
@@ -309,14 +320,14 @@
             self.own,
             self.members.leaving,
             self.was_in_use,
-            hears,
+            self.hears if near else (),
             now,
             catalog.version,
             vouching.time_for(host, catalog.read_at),
             discovery.digest,
             vouching.time_for(host, discovery.own_read_at),
             reading.can_read(now),
-            reading.followed_as_of(host, now),
+            reading.followed_as_of(host, near and self.is_reader),
         )
 
     def send_server(self, news: ServerNews) -> None:
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import math
+from functools import lru_cache
 
 import msgspec
 
@@ -30,6 +31,9 @@
 # answer 5 KB in and out.
 REQUESTS_PER_CORE = 250
 REQUESTS_PER_MBPS = 12
+# Hosts whose ranks are kept: those of an availability zone at full size, and
+# their earlier processes.
+MAX_RANKED = 1024
 # A gap in the host's own clock after which its beliefs are stale.
 PAUSE_S = 1
 
@@ -213,6 +217,7 @@
     return min(cores * REQUESTS_PER_CORE, link_mbps * REQUESTS_PER_MBPS)
 
 
+@lru_cache(MAX_RANKED)
 def rank(record: HostRecord) -> tuple[int, int, bytes]:
     """Returns the order of hosts: large ones, then older ones, then by hash."""
     size = -round(math.log2(max(1, record.capacity)))
--- a/teaselcove/ingress/reading.py
+++ b/teaselcove/ingress/reading.py
@@ -92,16 +92,14 @@
             return False
         return now - self.followed_at > FOLLOW_AGE_S
 
-    def followed_as_of(self, host: HostId, now: Instant) -> Instant | None:
-        """Returns the time on a host's clock that this reader vouches for.
+    def followed_as_of(self, host: HostId, vouches: bool) -> Instant | None:
+        """Returns the time on a host's clock that this host vouches for.
 
         Args:
-            host: A host that may rely on it, if it is of the same zone.
-            now: Present time.
+            host: The host.
+            vouches: Whether this host reads for its zone and the other one is
+                of the same zone.
         """
-        members = self.kernel.service('members')
-        peer = members.peers.get(host)
-        near = peer is not None and peer.record.zone == members.zone
-        if not near or not self.is_reader(now):
+        if not vouches:
             return None
         return self.kernel.service('vouching').time_for(host, self.contact_at)
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -107,9 +107,9 @@
         Raises:
             RefusedError: If there is none.
         """
-        await self.freshness.ensure_servers()
         step = Next.RETRY
         while step is Next.RETRY:
+            await self.freshness.ensure_servers()
             try:
                 pick = await self.place(call)
             except RefusedError:
--- a/teaselcove/ingress/slots.py
+++ b/teaselcove/ingress/slots.py
@@ -13,6 +13,7 @@
 # Queues are tried again at this interval in seconds, since time alone can
 # make a server usable.
 RETRY_S = 0.05
+MS_PER_S = 1000
 
 
 class Slots:
@@ -42,9 +43,24 @@
             call.service, call.priority, start_by, now, again
         )
         if isinstance(waiting, Refusal):
+            self.log_refusal(call, start_by, now)
             raise RefusedError(waiting)
         return await self.wait(call, waiting)
 
+    def log_refusal(self, call: Call, start_by: Instant, now: Instant) -> None:
+        """Writes what decided that a request may not wait."""
+        queueing = self.kernel.service('queueing')
+        self.kernel.decide(
+            'queue-refused',
+            request=call.attempt_id,
+            service=call.service,
+            priority=call.priority,
+            waiting=len(queueing.in_order(call.service)),
+            starts_per_s=queueing.rate(call.service).per_second(now),
+            standing=queueing.is_standing(call.service, now),
+            may_wait_ms=int((start_by - now) * MS_PER_S),
+        )
+
     async def wait(self, call: Call, waiting: Waiting) -> Pick:
         """Waits for a slot.
 
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -6,12 +6,18 @@
 
 from teaselcove.errors import HistoryLostError, StoreUnavailableError
 from teaselcove.ids import Instant
+from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import (
     IngressConfiguration,
     KeyedRecord,
     RecordPage,
 )
-from teaselcove.ingress.freshness import NEWS_WAIT_S, Follower, Freshness
+from teaselcove.ingress.freshness import (
+    AWAY_FAILURES,
+    NEWS_WAIT_S,
+    Follower,
+    Freshness,
+)
 from tests.ingress_support import configuration, make_kernel
 
 HEARTBEATS = 50
@@ -109,6 +115,61 @@
         assert (catalog.confirmed_at is not None) is is_whole
 
 
+class ReturningStore:
+    """A store that fails some reads and then answers."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.reads = 0
+
+    async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
+        """Returns no servers."""
+        self.reads += 1
+        if self.reads <= self.failures:
+            raise StoreUnavailableError(topic)
+        return RecordPage((), 1, asked_at)
+
+
+class TestServersBeforeRequests:
+    """Reads that a request waits for."""
+
+    def freshness(self, store: ReturningStore) -> Freshness:
+        """Returns the reads of a host that knew the servers long ago."""
+        kernel = make_kernel()
+        kernel.service('discovery').confirm(Instant(0))
+        return Freshness(kernel, store, NoGossip())
+
+    def test_store_that_is_back(self) -> None:
+        """Guards against old beliefs after an outage that went unnoticed.
+
+        A host that others vouch for makes no reads that would show the
+        return of the store.
+        """
+        store = ReturningStore(0)
+        freshness = self.freshness(store)
+        freshness.failures = AWAY_FAILURES
+        freshness.failed_at = Instant(0)
+        asyncio.run(freshness.ensure_servers())
+        assert store.reads == 1
+        assert not freshness.should_read_servers(boot_time())
+
+    def test_one_broken_connection(self) -> None:
+        """Guards against old beliefs because one read has failed."""
+        store = ReturningStore(1)
+        freshness = self.freshness(store)
+        asyncio.run(freshness.ensure_servers())
+        assert store.reads == 2
+        assert not freshness.should_read_servers(boot_time())
+
+    def test_store_that_is_away(self) -> None:
+        """Guards against reads by every request during an outage."""
+        store = ReturningStore(100)
+        freshness = self.freshness(store)
+        for _ in range(5):
+            asyncio.run(freshness.ensure_servers())
+        assert store.reads == AWAY_FAILURES
+
+
 class TestRefusedHost:
     """The store refuses a host and serves the others."""
 
--- a/tests/test_ingress_reading.py
+++ b/tests/test_ingress_reading.py
@@ -83,22 +83,14 @@
         assert not reading.must_follow(Instant(FOLLOW_START_S - 0.1))
         assert reading.must_follow(Instant(FOLLOW_START_S))
 
-    def test_only_a_reader_of_the_zone_vouches(self) -> None:
+    def test_only_a_reader_vouches(self) -> None:
         """Guards against hosts that rely on one that tells them nothing."""
         kernel = make_kernel()
         reading = kernel.service('reading')
-        members = kernel.service('members')
-        far = host_record('host-3', 'b')
-        members.heard(far, False, True, frozenset(), Instant(10))
-        hear(kernel, 'host-2', 10)
-        for host in ('host-2', 'host-3'):
-            kernel.service('vouching').note(host, Instant(50), Instant(9))
+        kernel.service('vouching').note('host-2', Instant(50), Instant(9))
         reading.contact(Instant(9.5))
-        now = Instant(10)
-        assert reading.followed_as_of('host-2', now) is None
-        hear(kernel, 'host-2', 10, can_read=False)
-        assert reading.followed_as_of('host-2', now) == Instant(50)
-        assert reading.followed_as_of('host-3', now) is None
+        assert reading.followed_as_of('host-2', vouches=True) == Instant(50)
+        assert reading.followed_as_of('host-2', vouches=False) is None
 
 
 class OneVersionStore:
