Try failing servers seldom while others have slots to spare

After a stale connection a request could make a second trial. Change: while less than half of the slots of working servers are in use, the pause between trials grows to 2 s; after a success it is short again. A trial is only the first attempt of a request that has a second one. The tests of the pauses and of both conditions fail on the code before.

--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -36,6 +36,9 @@
 UNTESTED_S = 1
 # Share of a service's servers that should be known to work.
 TESTED_SHARE = 0.6
+# With fewer than this share of the slots of working servers in use, servers
+# that fail are not needed and are tried seldom.
+SPARE_LOAD = 0.5
 # Share of the budget for second attempts that tests leave.
 TEST_SPARE = 0.4
 # One request more than slots may wait at a server: it starts at once when a
@@ -119,7 +122,7 @@
     def pick(
         self,
         service: ServiceId,
-        idempotent: bool,
+        may_test: bool,
         exclude: frozenset[BackendServerId],
         now: Instant,
     ) -> Pick | None:
@@ -127,8 +130,8 @@
 
         Args:
             service: The service.
-            idempotent: Whether the request may be repeated, and so may try a
-                server that is not known to be well.
+            may_test: Whether the request may try a server that is not known
+                to be well, since a failure there leaves it another attempt.
             exclude: Servers that have failed the request.
             now: Present time.
         """
@@ -144,7 +147,7 @@
             if self.has_room(known)
             and not health.is_closed(known.server.id, now)
         ]
-        if idempotent and not exclude:
+        if may_test:
             test = self.server_to_test(service, usable, open_servers, now)
             if test is not None:
                 return self.picked(test, trial=True)
@@ -168,14 +171,27 @@
             for known in usable
         )
         enough = tested >= TESTED_SHARE * len(usable)
+        relaxed = self.has_spare_slots(usable)
         due = [
             known
             for known in open_servers
-            if health.may_try(known.server.id, now)
+            if health.may_try(known.server.id, relaxed, now)
             and self.is_untested(known, enough, now)
         ]
         return self.kernel.random.choice(due) if due else None
 
+    def has_spare_slots(self, usable: list[KnownServer]) -> bool:
+        """Returns whether the servers that work can take much more."""
+        health = self.kernel.service('health')
+        working = [
+            known
+            for known in usable
+            if health.condition(known.server.id) is Condition.WELL
+        ]
+        slots = sum(known.server.slots for known in working)
+        load = sum(self.load(known.server.id) for known in working)
+        return load < SPARE_LOAD * slots
+
     def is_untested(
         self, known: KnownServer, enough: bool, now: Instant
     ) -> bool:
--- a/teaselcove/ingress/calls.py
+++ b/teaselcove/ingress/calls.py
@@ -81,6 +81,15 @@
             return self.route.priority
         return organisation.priority
 
+    @property
+    def may_test(self) -> bool:
+        """Whether it may try a server that is not known to be well.
+
+        A failure there must leave an attempt at a server that is.
+        """
+        untried = not self.sent and not self.not_run
+        return self.route.idempotent and untried and self.route.max_attempts > 1
+
     def time_left(self, now: Instant) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline - now
--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -26,9 +26,13 @@
 # that would have to wait for a slot elsewhere may use it.
 PROMISING_SUCCESSES = 2
 # Pause before a suspect server is tried again; it doubles with each failure
-# in a row up to the maximum, which is below the usual length of a fault.
+# in a row up to a maximum. After a success it is short again.
 TRIAL_PAUSE_S = 0.2
+# The maximum while the slots of working servers are needed.
 MAX_TRIAL_PAUSE_S = 0.5
+# The maximum while working servers have slots to spare. Faults last 5 to 9 s,
+# and a trial that fails costs one of the two attempts that a request has.
+RELAXED_TRIAL_PAUSE_S = 2
 # A success within this time is worth telling a host that has just started.
 RECENT_S = 1
 # A server that nobody has tried for this long is tried by any request.
@@ -75,7 +79,7 @@
         last_failure: When a failure was last noted.
         last_success: Start of the latest attempt that succeeded.
         closed_until: When it may get a request again after it refused one.
-        trial_at: When a request may try it again while it is not well.
+        tried_at: Start of the last attempt, or when the last failure was noted.
         latency: Moving average of the service time in seconds, or None.
     """
 
@@ -86,7 +90,7 @@
     last_failure: Instant = Instant(0)
     last_success: Instant = Instant(0)
     closed_until: Instant = Instant(0)
-    trial_at: Instant = Instant(0)
+    tried_at: Instant = Instant(0)
     latency: float | None = None
 
 
@@ -190,10 +194,20 @@
         record = self.records.get(server)
         return record is not None and now < record.closed_until
 
-    def may_try(self, server: BackendServerId, now: Instant) -> bool:
-        """Returns whether a repeatable request should try the server."""
+    def may_try(
+        self, server: BackendServerId, relaxed: bool, now: Instant
+    ) -> bool:
+        """Returns whether a repeatable request should try the server.
+
+        Args:
+            server: The server.
+            relaxed: Whether there are slots enough without it.
+            now: Present time.
+        """
         record = self.records.get(server)
-        return record is not None and now >= record.trial_at
+        if record is None:
+            return False
+        return now >= record.tried_at + self.pause(record, relaxed)
 
     def is_forgiven(self, server: BackendServerId, now: Instant) -> bool:
         """Returns whether the last failure is long ago."""
@@ -211,7 +225,7 @@
     ) -> RunningAttempt:
         """Notes an attempt; the next test of its server has to wait."""
         record = self.record(server)
-        record.trial_at = Instant(now + self.pause(record))
+        record.tried_at = now
         attempt = RunningAttempt(server, service, now)
         self.running.add(attempt)
         return attempt
@@ -230,10 +244,13 @@
                 attempt.is_overdue = True
                 self.note_path_failure(attempt, now)
 
-    def pause(self, record: Record) -> float:
+    def pause(self, record: Record, relaxed: bool) -> float:
         """Returns the seconds between trials of a server."""
+        if record.successes:
+            return TRIAL_PAUSE_S
         count = max(record.failures, record.path_failures)
-        return min(MAX_TRIAL_PAUSE_S, TRIAL_PAUSE_S * 2 ** max(0, count - 1))
+        longest = RELAXED_TRIAL_PAUSE_S if relaxed else MAX_TRIAL_PAUSE_S
+        return min(longest, TRIAL_PAUSE_S * 2 ** max(0, count - 1))
 
     def finished(
         self,
@@ -289,7 +306,7 @@
         record.successes = 0
         record.last_failure = now
         record.failed_start = max(record.failed_start, attempt.started_at)
-        record.trial_at = Instant(now + self.pause(record))
+        record.tried_at = now
         self.log_change(attempt.server, before)
 
     def log_change(self, server: BackendServerId, before: Condition) -> None:
@@ -317,7 +334,7 @@
             record.failures += 1
             record.last_failure = now
             record.failed_start = max(record.failed_start, finding.started_at)
-            record.trial_at = Instant(now + self.pause(record))
+            record.tried_at = now
         self.log_change(finding.server, before)
 
     def usual_latency(self, service: ServiceId) -> float:
--- a/teaselcove/ingress/slots.py
+++ b/teaselcove/ingress/slots.py
@@ -106,10 +106,10 @@
         """
         balance = self.kernel.service('balance')
         service = call.service
-        repeatable = call.route.idempotent
-        pick = balance.pick(service, repeatable, call.exclude, now)
+        may_test = call.may_test and not hedge
+        pick = balance.pick(service, may_test, call.exclude, now)
         if pick is None and call.exclude and not hedge:
-            pick = balance.pick(service, repeatable, frozenset(), now)
+            pick = balance.pick(service, may_test, frozenset(), now)
         if pick is None:
             return None
         name = pick.known.server.id
--- a/tests/ingress_support.py
+++ b/tests/ingress_support.py
@@ -144,11 +144,11 @@
 
 
 def pick(
-    kernel: Kernel, idempotent: bool, now: float, *exclude: str
+    kernel: Kernel, may_test: bool, now: float, *exclude: str
 ) -> Pick | None:
     """Returns the server for an attempt."""
     return kernel.service('balance').pick(
-        'job', idempotent, frozenset(exclude), Instant(now)
+        'job', may_test, frozenset(exclude), Instant(now)
     )
 
 
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -12,13 +12,19 @@
     RunningAttempt,
 )
 from teaselcove.ingress.idle_limits import IdleLimits
+from teaselcove.ingress.slots import Slots
+from teaselcove.kernel import Kernel
 from tests.ingress_support import (
     COMPLETE,
+    accepted,
     add_servers,
+    adopt,
+    configuration,
     entry,
     make_kernel,
     note_end,
     pick,
+    rule,
 )
 
 
@@ -258,6 +264,66 @@
         assert pick(kernel, False, 1).known.server.id == 's1'
 
 
+class TestTrials:
+    """Repeatable requests that try servers which have failed."""
+
+    def failing(self) -> Kernel:
+        """Returns a host that knows a failing server among four."""
+        kernel = make_kernel()
+        names = add_servers(kernel, 4)
+        for now in (0.2, 0.4, 0.6, 0.8, 1):
+            note_end(kernel, 's0', now)
+        for name in names[1:]:
+            note_end(kernel, name, 1, status=200)
+        return kernel
+
+    def test_seldom_while_slots_are_free(self) -> None:
+        """Guards against look-ups spent on servers that nobody needs."""
+        kernel = self.failing()
+        assert not pick(kernel, True, 1.6).trial
+        for name in ('s1', 's2', 's3'):
+            note_end(kernel, name, 3, status=200)
+        chosen = pick(kernel, True, 3.1)
+        assert (chosen.known.server.id, chosen.trial) == ('s0', True)
+
+    def test_often_while_slots_are_needed(self) -> None:
+        """Guards against a queue beside a server that works again."""
+        kernel = self.failing()
+        kernel.service('balance').elsewhere = {'s1': 2, 's2': 2, 's3': 2}
+        chosen = pick(kernel, True, 1.6)
+        assert (chosen.known.server.id, chosen.trial) == ('s0', True)
+
+    def test_soon_after_a_success(self) -> None:
+        """Guards against a slow return of a server that works again."""
+        kernel = self.failing()
+        note_end(kernel, 's0', 3, status=200)
+        assert pick(kernel, True, 3.3).trial
+
+    @pytest.mark.parametrize(
+        ('changes', 'trial'),
+        [({}, True), ({'sent': ['s2']}, False), ({'not_run': 1}, False)],
+    )
+    def test_one_in_a_request(
+        self, changes: dict[str, object], trial: bool
+    ) -> None:
+        """Guards against both attempts of a request being trials."""
+        kernel = self.failing()
+        adopt(kernel, configuration(), 3)
+        call = accepted(kernel, '/read/1', 3.1)
+        for field, value in changes.items():
+            setattr(call, field, value)
+        assert Slots(kernel).pick(call, Instant(3.1)).trial is trial
+
+    def test_only_with_a_second_attempt(self) -> None:
+        """Guards against a trial that may not be repeated."""
+        kernel = self.failing()
+        rules = [rule('look-up', 'safe', '/read/', maxAttempts=1)]
+        listeners = [{'host': 'jobs.example', 'rules': rules}]
+        adopt(kernel, configuration(listeners=listeners), 3)
+        call = accepted(kernel, '/read/1', 3.1)
+        assert not Slots(kernel).pick(call, Instant(3.1)).trial
+
+
 class TestFailingServers:
     """Plays servers that fail most requests for seconds, one host."""
 
