Tell other hosts of broken requests; trust a path after three answers

A request that was overdue counted as two failures, once as overdue and once at its end. Change: a path counts as failing until three answers in a row; a request that breaks off or hangs is told to the others, which suspect the server, so that their first broken request puts it out. An overdue request counts once. The record of a server and what hosts tell each other are modules of their own.

--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -11,8 +11,8 @@
 
 from teaselcove.ids import BackendServerId, Instant, ServiceId
 from teaselcove.ingress.discovery import KnownServer
-from teaselcove.ingress.health import Condition
 from teaselcove.ingress.kernel import ingress_services
+from teaselcove.ingress.server_record import Condition
 from teaselcove.kernel import Kernel
 
 # All costs are shares of a request that are lost on average.
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -19,6 +19,7 @@
     HostRecord,
     IngressConfiguration,
 )
+from teaselcove.ingress.findings import Outcome
 from teaselcove.ingress.members import HEARTBEAT_INTERVAL_S
 from teaselcove.ingress.peer_messages import (
     ConfigurationNews,
@@ -345,7 +346,7 @@
         """Sends evidence; failures at once, the rest now and then."""
         health = self.kernel.service('health')
         self.reports += 1
-        urgent = any(not item.well for item in health.news)
+        urgent = any(item.outcome is not Outcome.WELL for item in health.news)
         if not urgent and self.reports % CALM_REPORTS:
             return
         in_flight = dict(self.kernel.service('balance').in_flight)
--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -4,35 +4,22 @@
 check is good. A server is suspect after one failure and out after two in a
 row. Requests that may run once go to servers that are well; requests that may
 be repeated try the others again, since a failure there costs a retry only.
-"""
 
-from enum import Enum
+Broken connections and silence count for the host that met them, since its path
+may be the cause. The other hosts only suspect the server, so that the first
+request that breaks off there puts it out.
+"""
 
 import msgspec
 
 from teaselcove.events import AttemptResult
 from teaselcove.ids import BackendServerId, Instant, ServiceId
+from teaselcove.ingress.findings import Evidence, Finding, Outcome
 from teaselcove.ingress.kernel import ingress_services
+from teaselcove.ingress.server_record import OUT_FAILURES, Condition, Record
 from teaselcove.kernel import Kernel
 
 SERVER_ERROR_STATUS = 500
-MS_PER_S = 1000
-# Failures in a row after which a server is out.
-OUT_FAILURES = 2
-# Successes in a row after which a server is well again. At a failure rate of
-# three in four, one success would readmit it wrongly in a quarter of trials.
-RETURN_SUCCESSES = 3
-# Successes in a row after which a server that is out is only suspect: a request
-# that would have to wait for a slot elsewhere may use it.
-PROMISING_SUCCESSES = 2
-# Pause before a suspect server is tried again; it doubles with each failure
-# in a row up to a maximum. After a success it is short again.
-TRIAL_PAUSE_S = 0.2
-# The maximum while the slots of working servers are needed.
-MAX_TRIAL_PAUSE_S = 0.5
-# The maximum while working servers have slots to spare. Faults last 5 to 9 s,
-# and a trial that fails costs one of the two attempts that a request has.
-RELAXED_TRIAL_PAUSE_S = 2
 # A success within this time is worth telling a host that has just started.
 RECENT_S = 1
 # A server that nobody has tried for this long is tried by any request.
@@ -59,51 +46,6 @@
 )
 
 
-class Condition(Enum):
-    """What a host believes of a server."""
-
-    WELL = 'well'
-    SUSPECT = 'suspect'
-    OUT = 'out'
-
-
-class Record(msgspec.Struct):
-    """What is known of a server.
-
-    Attributes:
-        failures: Failures in a row.
-        successes: Successes in a row of attempts that started after the
-            last one that failed.
-        path_failures: Failures in a row to reach it from this host.
-        failed_start: Start of the latest attempt that failed.
-        last_failure: When a failure was last noted.
-        last_success: Start of the latest attempt that succeeded.
-        closed_until: When it may get a request again after it refused one.
-        tried_at: Start of the last attempt, or when the last failure was noted.
-        latency: Moving average of the service time in seconds, or None.
-    """
-
-    failures: int = 0
-    successes: int = 0
-    path_failures: int = 0
-    failed_start: Instant = Instant(float('-inf'))
-    last_failure: Instant = Instant(0)
-    last_success: Instant = Instant(0)
-    closed_until: Instant = Instant(0)
-    tried_at: Instant = Instant(0)
-    latency: float | None = None
-
-
-def note_success(record: Record, started_at: Instant) -> None:
-    """Notes a success, unless it says less than a later failure."""
-    if started_at < record.failed_start:
-        return
-    record.successes += 1
-    record.last_success = max(record.last_success, started_at)
-    if record.successes >= RETURN_SUCCESSES:
-        record.failures = 0
-
-
 class RunningAttempt(msgspec.Struct, eq=False):
     """An attempt that has not ended."""
 
@@ -113,45 +55,6 @@
     is_overdue: bool = False
 
 
-class Finding(msgspec.Struct, frozen=True):
-    """How an attempt at a server ended.
-
-    Attributes:
-        well: Whether the server completed it.
-        started_at: When the attempt started. It shows the state of the
-            server at that time: a failing server still completes what it
-            began before.
-    """
-
-    server: BackendServerId
-    well: bool
-    started_at: Instant
-
-
-class Evidence(msgspec.Struct, frozen=True, array_like=True):
-    """A finding as hosts tell each other, whose clocks differ.
-
-    Attributes:
-        well: Whether the server completed the attempt.
-        age_ms: Milliseconds since the attempt started.
-    """
-
-    server: BackendServerId
-    well: bool
-    age_ms: int
-
-    @classmethod
-    def of(cls, finding: Finding, now: Instant) -> 'Evidence':
-        """Returns the evidence of a finding of this host."""
-        age_ms = round((now - finding.started_at) * MS_PER_S)
-        return cls(finding.server, finding.well, age_ms)
-
-    def finding(self, now: Instant) -> Finding:
-        """Returns the finding on the clock of the host that received it."""
-        started_at = Instant(now - self.age_ms / MS_PER_S)
-        return Finding(self.server, self.well, started_at)
-
-
 @ingress_services.register('health')
 class Health:
     """Keeps a record of each server and decides who may be tried.
@@ -178,16 +81,7 @@
     def condition(self, server: BackendServerId) -> Condition:
         """Returns what is believed of a server."""
         record = self.records.get(server)
-        if record is None:
-            return Condition.WELL
-        if record.path_failures >= OUT_FAILURES:
-            return Condition.OUT
-        promising = record.successes >= PROMISING_SUCCESSES
-        if record.failures >= OUT_FAILURES and not promising:
-            return Condition.OUT
-        if record.failures or record.path_failures:
-            return Condition.SUSPECT
-        return Condition.WELL
+        return Condition.WELL if record is None else record.condition
 
     def is_closed(self, server: BackendServerId, now: Instant) -> bool:
         """Returns whether a server would refuse a request now."""
@@ -207,7 +101,7 @@
         record = self.records.get(server)
         if record is None:
             return False
-        return now >= record.tried_at + self.pause(record, relaxed)
+        return now >= record.tried_at + record.pause(relaxed)
 
     def is_forgiven(self, server: BackendServerId, now: Instant) -> bool:
         """Returns whether the last failure is long ago."""
@@ -242,15 +136,7 @@
             limit = max(MIN_OVERDUE_S, OVERDUE_FACTOR * usual)
             if now - attempt.started_at > limit:
                 attempt.is_overdue = True
-                self.note_path_failure(attempt, now)
-
-    def pause(self, record: Record, relaxed: bool) -> float:
-        """Returns the seconds between trials of a server."""
-        if record.successes:
-            return TRIAL_PAUSE_S
-        count = max(record.failures, record.path_failures)
-        longest = RELAXED_TRIAL_PAUSE_S if relaxed else MAX_TRIAL_PAUSE_S
-        return min(longest, TRIAL_PAUSE_S * 2 ** max(0, count - 1))
+                self.note_broken(attempt, now)
 
     def finished(
         self,
@@ -273,7 +159,8 @@
             pause = CONNECT_PAUSE_S * self.record(server).path_failures
             self.record(server).closed_until = Instant(now + pause)
         elif result in PATH_FAILURES:
-            self.note_path_failure(attempt, now)
+            if not attempt.is_overdue:
+                self.note_broken(attempt, now)
         else:
             pause = CLOSED_PAUSES_S.get(result, 0)
             self.record(server).closed_until = Instant(now + pause)
@@ -283,12 +170,12 @@
     ) -> None:
         """Notes a whole answer, also for the other hosts."""
         well = status < SERVER_ERROR_STATUS
-        finding = Finding(attempt.server, well, attempt.started_at)
+        outcome = Outcome.WELL if well else Outcome.FAILED
+        finding = Finding(attempt.server, outcome, attempt.started_at)
+        record = self.record(attempt.server)
+        record.note_reached(attempt.started_at)
         self.note(finding, now)
         self.news.append(finding)
-        record = self.record(attempt.server)
-        if attempt.started_at >= record.failed_start or not well:
-            record.path_failures = 0
         if well:
             self.note_latency(record, now - attempt.started_at)
 
@@ -298,15 +185,18 @@
             record.latency = elapsed
         record.latency += LATENCY_GAIN * (elapsed - record.latency)
 
+    def note_broken(self, attempt: RunningAttempt, now: Instant) -> None:
+        """Notes that a server took a request and did not answer it."""
+        self.note_path_failure(attempt, now)
+        self.news.append(
+            Finding(attempt.server, Outcome.BROKEN, attempt.started_at)
+        )
+
     def note_path_failure(self, attempt: RunningAttempt, now: Instant) -> None:
         """Notes that a server could not be reached or broke off."""
         before = self.condition(attempt.server)
         record = self.record(attempt.server)
-        record.path_failures += 1
-        record.successes = 0
-        record.last_failure = now
-        record.failed_start = max(record.failed_start, attempt.started_at)
-        record.tried_at = now
+        record.note_path_failure(attempt.started_at, now)
         self.log_change(attempt.server, before)
 
     def log_change(self, server: BackendServerId, before: Condition) -> None:
@@ -321,20 +211,17 @@
                 after=after.value,
                 failures=record.failures,
                 path_failures=record.path_failures,
+                broken_elsewhere=record.broken_elsewhere,
             )
 
     def note(self, finding: Finding, now: Instant) -> None:
-        """Notes an answer of a server to this host or another one."""
+        """Notes what an attempt of this host or another one has shown."""
         record = self.record(finding.server)
         before = self.condition(finding.server)
-        if finding.well:
-            note_success(record, finding.started_at)
+        if finding.outcome is Outcome.WELL:
+            record.note_success(finding.started_at)
         else:
-            record.successes = 0
-            record.failures += 1
-            record.last_failure = now
-            record.failed_start = max(record.failed_start, finding.started_at)
-            record.tried_at = now
+            record.note_failure(finding, now)
         self.log_change(finding.server, before)
 
     def usual_latency(self, service: ServiceId) -> float:
@@ -357,10 +244,11 @@
         findings = []
         for server, record in self.records.items():
             failures = min(record.failures, OUT_FAILURES)
-            failed = Finding(server, False, record.failed_start)
+            failed = Finding(server, Outcome.FAILED, record.failed_start)
             findings.extend(failed for _ in range(failures))
             if not failures and now - record.last_success < RECENT_S:
-                findings.append(Finding(server, True, record.last_success))
+                success = Finding(server, Outcome.WELL, record.last_success)
+                findings.append(success)
         return [Evidence.of(finding, now) for finding in findings]
 
     def take_news(self, now: Instant) -> list[Evidence]:
--- a/teaselcove/ingress/peer_messages.py
+++ b/teaselcove/ingress/peer_messages.py
@@ -8,7 +8,7 @@
     IngressConfiguration,
     ServerEntry,
 )
-from teaselcove.ingress.health import Evidence
+from teaselcove.ingress.findings import Evidence
 from teaselcove.messages import message
 
 
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -6,12 +6,10 @@
 
 from teaselcove.events import AttemptResult
 from teaselcove.ids import Instant
-from teaselcove.ingress.health import (
-    RETURN_SUCCESSES,
-    Condition,
-    RunningAttempt,
-)
+from teaselcove.ingress.findings import Finding, Outcome
+from teaselcove.ingress.health import RunningAttempt
 from teaselcove.ingress.idle_limits import IdleLimits
+from teaselcove.ingress.server_record import RETURN_SUCCESSES, Condition
 from teaselcove.ingress.slots import Slots
 from teaselcove.kernel import Kernel
 from tests.ingress_support import (
@@ -178,6 +176,56 @@
         silence = old.service('health').silence('s1', Instant(2))
         assert health.silence('s1', Instant(2)) == pytest.approx(silence)
 
+    def test_resets_need_answers_in_a_row(self) -> None:
+        """Guards against a server that resets every other connection."""
+        kernel = make_kernel()
+        health = kernel.service('health')
+        conditions = []
+        for now in (1, 2, 3):
+            note_end(kernel, 's0', now, AttemptResult.BROKEN, None)
+            note_end(kernel, 's0', now + 0.5, status=200)
+            conditions.append(health.condition('s0'))
+        assert conditions == [Condition.SUSPECT, Condition.OUT, Condition.OUT]
+        for now in (4, 4.2):
+            note_end(kernel, 's0', now, status=200)
+        assert health.condition('s0') is Condition.WELL
+
+    def test_successes_elsewhere_do_not_clear_a_path(self) -> None:
+        """Guards against trust in a path that other hosts do not use."""
+        kernel = make_kernel()
+        health = kernel.service('health')
+        for now in (1, 1.2):
+            note_end(kernel, 's0', now, AttemptResult.TIMED_OUT, None)
+        for now in (2, 3, 4):
+            elsewhere = Finding('s0', Outcome.WELL, Instant(now))
+            health.note(elsewhere, Instant(now + 0.1))
+        assert health.condition('s0') is Condition.OUT
+        assert not health.may_try('s0', relaxed=True, now=Instant(1.5))
+
+    def test_breaks_elsewhere(self) -> None:
+        """Guards against six hosts that each lose two bookings to learn."""
+        kernel = make_kernel()
+        other = make_kernel('host-2')
+        add_servers(kernel, 2)
+        for now in (1, 1.1):
+            note_end(other, 's0', now, AttemptResult.BROKEN, None)
+        health = kernel.service('health')
+        for evidence in other.service('health').take_news(Instant(1.2)):
+            health.note(evidence.finding(Instant(1.2)), Instant(1.2))
+        assert health.condition('s0') is Condition.SUSPECT
+        assert pick(kernel, False, 1.3).known.server.id == 's1'
+        note_end(kernel, 's0', 1.4, AttemptResult.BROKEN, None)
+        assert health.condition('s0') is Condition.OUT
+
+    def test_one_long_request_is_one_failure(self) -> None:
+        """Guards against a server that is out for one slow request."""
+        kernel = make_kernel()
+        health = kernel.service('health')
+        running = health.started('s0', 'job', Instant(1))
+        health.check_overdue(Instant(3))
+        health.finished(running, AttemptResult.TIMED_OUT, None, Instant(3.1))
+        assert health.condition('s0') is Condition.SUSPECT
+
     def test_path_failure_is_local(self) -> None:
         """Guards against a host with a bad path that misleads others."""
         kernel = make_kernel()
