Let hosts of a zone try the failing servers of their zone

Change: a server of another zone is tried a second later than one of the own zone, counted from the last attempt that any host has told of.

--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -36,6 +36,9 @@
 UNTESTED_S = 1
 # Share of a service's servers that should be known to work.
 TESTED_SHARE = 0.6
+# Servers of other availability zones are tried this much later, since hosts
+# there try them and tell; a second covers two reports that are lost.
+FAR_TRIAL_DELAY_S = 1
 # With fewer than this share of the slots of working servers in use, servers
 # that fail are not needed and are tried seldom.
 SPARE_LOAD = 0.5
@@ -175,11 +178,19 @@
         due = [
             known
             for known in open_servers
-            if health.may_try(known.server.id, relaxed, now)
+            if health.may_try(
+                known.server.id, relaxed, self.asked_at(known, now)
+            )
             and self.is_untested(known, enough, now)
         ]
         return self.kernel.random.choice(due) if due else None
 
+    def asked_at(self, known: KnownServer, now: Instant) -> Instant:
+        """Returns the time at which a server must be due for a trial."""
+        if known.server.zone == self.kernel.settings.zone:
+            return now
+        return Instant(now - FAR_TRIAL_DELAY_S)
+
     def has_spare_slots(self, usable: list[KnownServer]) -> bool:
         """Returns whether the servers that work can take much more."""
         health = self.kernel.service('health')
--- a/teaselcove/ingress/server_record.py
+++ b/teaselcove/ingress/server_record.py
@@ -48,7 +48,8 @@
         last_failure: When a failure was last noted.
         last_success: Start of the latest attempt that succeeded.
         closed_until: When it may get a request again after it refused one.
-        tried_at: Start of the last attempt, or when the last failure was noted.
+        tried_at: Start of the last attempt of this host, or when an attempt
+            of another one was noted.
         latency: Moving average of the service time in seconds, or None.
     """
 
@@ -70,6 +71,7 @@
         if started_at < self.failed_start:
             return
         self.successes += 1
+        self.tried_at = max(self.tried_at, started_at)
         self.last_success = max(self.last_success, started_at)
         if self.successes >= RETURN_SUCCESSES:
             self.failures = 0
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -347,6 +347,18 @@
         note_end(kernel, 's0', 3, status=200)
         assert pick(kernel, True, 3.3).trial
 
+    def test_own_zone_first(self) -> None:
+        """Guards against trials across zones that hosts there make too."""
+        kernel = make_kernel()
+        add_servers(kernel, 3)
+        for name in ('s0', 's1', 's2'):
+            note_end(kernel, name, 1)
+        own = kernel.settings.zone
+        tried = {pick(kernel, True, 1.5).known.server.zone for _ in range(20)}
+        assert tried == {own}
+        later = {pick(kernel, True, 2.5).known.server.zone for _ in range(20)}
+        assert len(later) == 3
+
     @pytest.mark.parametrize(
         ('changes', 'trial'),
         [({}, True), ({'sent': ['s2']}, False), ({'not_run': 1}, False)],
