--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -15,6 +15,7 @@
 from teaselcove.platform.records import CONFIGURATION_KEY, CONFIGURATION_TOPIC
 
 CALL_TIMEOUT_S = 5
+METRICS_PORT = 9464
 BOUNDS = {
     'revokeMs': 5000,
     'drainMs': 2000,
@@ -101,7 +102,8 @@
         path = self.directory / f'{name}.json'
         path.write_bytes(msgspec.json.encode(self.boot(name, ip)))
         settings = self.directory / 'ingress.jsonc'
-        settings.write_text('// defaults\n{}\n', encoding='utf-8')
+        own = f'{{"metrics_port": {METRICS_PORT}}} // else defaults\n'
+        settings.write_text(own, encoding='utf-8')
         output = (self.directory / f'{name}.log').open('ab')
         self.processes.outputs.append(output)
         self.processes.running[name] = subprocess.Popen(
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -214,10 +214,12 @@
             self.boot.caller_address,
             self.connection_limits,
         )
+        addresses = [self.boot.ready_address, self.boot.resolve_address]
+        if self.settings.metrics_port is not None:
+            addresses.append(f'{self.boot.ip}:{self.settings.metrics_port}')
         self.listeners = [
             self.callers,
-            listener.Listener(own, self.boot.ready_address),
-            listener.Listener(own, self.boot.resolve_address),
+            *(listener.Listener(own, address) for address in addresses),
         ]
         for opened in self.listeners:
             await opened.start()
--- a/teaselcove/ingress/settings.py
+++ b/teaselcove/ingress/settings.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from teaselcove import jsonc
-from teaselcove.settings import Count, LogSettings, Seconds, convert
+from teaselcove.settings import Count, LogSettings, Port, Seconds, convert
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
@@ -23,6 +23,8 @@
         max_answer_bytes: Largest body of an answer.
         log_lines_per_second: Lines of one kind above which lines are left
             out and counted.
+        metrics_port: Port that serves metrics besides the address for
+            readiness, or None; `metrics` of the deploy file names it.
     """
 
     hosts_in_use: Count = 2
@@ -32,6 +34,7 @@
     memory_share: Share = 0.25
     max_answer_bytes: Count = 16 * 1024 * 1024
     log_lines_per_second: Count = 100
+    metrics_port: Port | None = None
     log: LogSettings = LogSettings()
 
 
--- a/tests/test_ingress_process.py
+++ b/tests/test_ingress_process.py
@@ -11,7 +11,11 @@
 
 from standins.backend import Fault
 from standins.log_store import StoreFault
-from standins.platform_deployment import PlatformDeployment, call
+from standins.platform_deployment import (
+    METRICS_PORT,
+    PlatformDeployment,
+    call,
+)
 from tests.ingress_support import configuration
 
 # Each worker of a run uses loopback networks of its own.
@@ -137,6 +141,25 @@
         assert send(deployment, 'host-0', '/none/')[0] == 404
 
 
+class TestMetrics:
+    """Figures of a host."""
+
+    def test_port_of_their_own(self, deployment: PlatformDeployment) -> None:
+        """Guards against metrics that only the readiness address serves."""
+        status, _, _, attempt_id = send(deployment, 'host-0')
+        ready = deployment.listen['host-0']['ready']
+        own = f'{ready.split(":")[0]}:{METRICS_PORT}'
+        texts = [
+            call(address, 'GET', '/metrics', {})[2].decode()
+            for address in (ready, own)
+        ]
+        assert status == 200
+        for text in texts:
+            assert 'teaselcove_requests_total{outcome="answered-2xx"}' in text
+            assert KEY not in text
+            assert attempt_id not in text
+
+
 class TestFaults:
     """Promises while something fails."""
 
