Give mixed-up answers of the stand-in the path of the other request

Cause: with the comparison of request ids taken out, the soak found nothing wrong: the check looks for the id in the body, and the path in the body of a mixed-up answer still bore it. Change: such an answer has the other path too.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -121,11 +121,13 @@
     def answer(self, request: Request, call: str | None) -> Response:
         """Returns the answer, or what the fault makes of it."""
         request_id = request.headers.get(self.request_id_header, '')
+        path = request.url.path
         if self.fault.wrong_id:
             request_id = OTHER_REQUEST
             call = OTHER_REQUEST
+            path = f'/{OTHER_REQUEST}'
         body = msgspec.json.encode(
-            {'server': self.server, 'path': request.url.path, 'call': call}
+            {'server': self.server, 'path': path, 'call': call}
         )
         headers = {
             'content-type': 'application/json',
