--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import base64
 import contextlib
 import json
 import random
@@ -45,8 +44,6 @@
 MEAN_GAP_S = 0.8
 # Time between questions whether the store knows that a server leaves.
 REGISTER_POLL_S = 0.1
-LEAVING = b'draining'
-OK_STATUS = 200
 # After harm to the store or a host, hosts hear it again within this time.
 HEAR_AGAIN_S = 3
 STOP_TIMEOUT_S = 8
@@ -324,26 +321,10 @@
         name = staying[0]
         self.evidence.leaving[name] = float('inf')
         await self.set_fault(self.deployment.servers[name], Fault(leaving=True))
-        while not await self.is_listed_as_leaving(name):
+        while not await asyncio.to_thread(self.deployment.is_leaving, name):
             await asyncio.sleep(REGISTER_POLL_S)
         self.evidence.leaving[name] = time.monotonic()
 
-    async def is_listed_as_leaving(self, name: str) -> bool:
-        """Returns whether the store says that a server leaves."""
-        target = f'/log-newest?topic={SERVERS_TOPIC}&part=0'
-        try:
-            status, _, body = await asyncio.to_thread(
-                call, self.deployment.store, 'GET', target, {}
-            )
-        except OSError:
-            return False
-        if status != OK_STATUS:
-            return False
-        return any(
-            item['key'] == name and LEAVING in base64.b64decode(item['value'])
-            for item in json.loads(body)['items']
-        )
-
     async def collect_runs(self, name: str) -> None:
         """Takes over what ran at a server."""
         address = self.deployment.servers[name]
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -1,5 +1,6 @@
 """A deployment on stand-ins of the users' platform, as separate processes."""
 
+import base64
 import http.client
 import json
 import os
@@ -12,10 +13,16 @@
 
 from standins.processes import Processes, free_port, wait_until_listening
 from teaselcove.platform.boot import SETTINGS_VARIABLE
-from teaselcove.platform.records import CONFIGURATION_KEY, CONFIGURATION_TOPIC
+from teaselcove.platform.records import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    SERVERS_TOPIC,
+)
 
 CALL_TIMEOUT_S = 5
 METRICS_PORT = 9464
+OK_STATUS = 200
+LEAVING = b'draining'
 BOUNDS = {
     'revokeMs': 5000,
     'drainMs': 2000,
@@ -145,6 +152,20 @@
         """Changes what is wrong with the store or a backend server."""
         call(address, 'PUT', '/fault', {}, msgspec.json.encode(fault))
 
+    def is_leaving(self, name: str) -> bool:
+        """Returns whether the store says that a backend server leaves."""
+        target = f'/log-newest?topic={SERVERS_TOPIC}&part=0'
+        try:
+            status, _, body = call(self.store, 'GET', target, {})
+        except OSError:
+            return False
+        if status != OK_STATUS:
+            return False
+        return any(
+            item['key'] == name and LEAVING in base64.b64decode(item['value'])
+            for item in json.loads(body)['items']
+        )
+
     def report(self, address: str) -> dict[str, Any]:
         """Returns what a stand-in has seen."""
         _, _, body = call(address, 'GET', '/report', {})
