Take the overdue limit from the latest answers too, so that a general slowdown ejects no server

Change: an attempt is overdue after 5 times the larger of the median average and the median of the service's nine latest answers.

--- a/teaselcove/ingress/health.py
+++ b/teaselcove/ingress/health.py
@@ -10,6 +10,8 @@
 as suspect, so that the first connection that breaks there ejects it.
 """
 
+from collections import deque
+
 import msgspec
 
 from teaselcove.events import AttemptResult
@@ -29,12 +31,13 @@
 # Seconds after the last failure from which a server counts as healthy again for
 # any request.
 FAILURE_LIFETIME_S = 4
-# Weight of a new sample in the moving average of the latency.
-LATENCY_WEIGHT = 0.2
 # An attempt is overdue after this multiple of the median service time. One
 # request in a hundred takes five times the mean.
 OVERDUE_FACTOR = 5
 MIN_OVERDUE_S = 1
+# Latest answers of a service from which its present service time is taken. The
+# averages of the servers follow a general slowdown only after seconds.
+RECENT_ANSWERS = 9
 # Service time in seconds assumed until one has been measured.
 DEFAULT_LATENCY_S = 0.2
 # Seconds for which a server gets no requests after a connection attempt was
@@ -68,6 +71,7 @@
     Attributes:
         running: Attempts that have not ended.
         unsent_findings: Findings not yet sent to the other hosts.
+        recent_latencies: Service times of the latest answers by service.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -75,6 +79,7 @@
         self.records: dict[BackendServerId, ServerRecord] = {}
         self.running: set[RunningAttempt] = set()
         self.unsent_findings: list[Finding] = []
+        self.recent_latencies: dict[ServiceId, deque[float]] = {}
 
     def record(self, server: BackendServerId) -> ServerRecord:
         """Returns the record of a server."""
@@ -137,15 +142,30 @@
 
         This detects a server that hangs before the caller's deadline.
         """
-        for attempt in self.running:
-            if attempt.is_overdue:
-                continue
-            median_latency = self.median_latency(attempt.service)
-            limit = max(MIN_OVERDUE_S, OVERDUE_FACTOR * median_latency)
-            if now - attempt.started_at > limit:
+        candidates = [
+            attempt
+            for attempt in self.running
+            if not attempt.is_overdue
+            and now - attempt.started_at > MIN_OVERDUE_S
+        ]
+        services = {attempt.service for attempt in candidates}
+        limits = {service: self.overdue_after(service) for service in services}
+        for attempt in candidates:
+            if now - attempt.started_at > limits[attempt.service]:
                 attempt.is_overdue = True
                 self.record_broken(attempt, now)
 
+    def overdue_after(self, service: ServiceId) -> float:
+        """Returns the age in seconds at which an attempt is overdue.
+
+        If the latest answers were slow too, the cause is not a single server.
+        """
+        recent = sorted(self.recent_latencies.get(service, ()))
+        typical = self.median_latency(service)
+        if recent:
+            typical = max(typical, recent[len(recent) // 2])
+        return max(MIN_OVERDUE_S, OVERDUE_FACTOR * typical)
+
     def finished(
         self,
         attempt: RunningAttempt,
@@ -185,13 +205,12 @@
         self.record_finding(finding, now)
         self.unsent_findings.append(finding)
         if succeeded:
-            self.record_latency(record, now - attempt.started_at)
-
-    def record_latency(self, record: ServerRecord, elapsed: float) -> None:
-        """Updates the moving average of the service time."""
-        if record.latency is None:
-            record.latency = elapsed
-        record.latency += LATENCY_WEIGHT * (elapsed - record.latency)
+            elapsed = now - attempt.started_at
+            record.record_latency(elapsed)
+            recent = self.recent_latencies.setdefault(
+                attempt.service, deque(maxlen=RECENT_ANSWERS)
+            )
+            recent.append(elapsed)
 
     def record_broken(self, attempt: RunningAttempt, now: Instant) -> None:
         """Records that a server took a request and did not answer it."""
--- a/teaselcove/ingress/server_record.py
+++ b/teaselcove/ingress/server_record.py
@@ -24,6 +24,8 @@
 # Maximum while the healthy servers have slots to spare. Faults last 5 to 9 s,
 # and a failed trial costs one of the two attempts that a request has.
 SPARE_TRIAL_PAUSE_S = 2
+# Weight of a new sample in the moving average of the latency.
+LATENCY_WEIGHT = 0.2
 
 
 class Condition(Enum):
@@ -85,6 +87,12 @@
         if self.answers >= PATH_READMIT_ANSWERS:
             self.path_failures = 0
 
+    def record_latency(self, elapsed: float) -> None:
+        """Updates the moving average of the service time."""
+        if self.latency is None:
+            self.latency = elapsed
+        self.latency += LATENCY_WEIGHT * (elapsed - self.latency)
+
     def record_failure(self, finding: Finding, now: Instant) -> None:
         """Records a failed attempt of any host."""
         self.successes = 0
