Keep a removed server only after an outage of the store, not after failed reads of one host

Cause: a host counts its failed reads until it reads again itself. While others confirm its state, that can be ten seconds after it was cut off; its next read then looks like the end of an outage of the store, and for two seconds removed servers are kept, since entries of live servers may have expired. Ruled out: a false confirmation by another host, as the host read the list itself. Change: the host takes the store for recovered only if no other host was in contact with it since its own last failed read. Figures: the test fails before and passes after.

--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -166,7 +166,10 @@
             log.warning(
                 'store-regained', extra={'figures': {'failed': self.failures}}
             )
-            self.kernel.service('discovery').store_recovered(now)
+            # If other hosts were in contact with the store meanwhile, only this
+            # host was refused, and no entry expired because of an outage.
+            if self.reading.followed_at <= self.failed_at:
+                self.kernel.service('discovery').store_recovered(now)
         self.failures = 0
         self.reading.record_answer(now)
 
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -178,6 +178,22 @@
 class TestRefusedHost:
     """A host whose reads the store refuses while it serves the others."""
 
+    @pytest.mark.parametrize('others_in_contact', [False, True])
+    def test_removal_after_own_failures(self, others_in_contact: bool) -> None:
+        """Guards against keeping a removed server because own reads failed.
+
+        Only an outage of the store makes entries of live servers expire.
+        """
+        kernel = make_kernel()
+        freshness = Freshness(kernel, RecoveringStore(0), DiscardingGossip())
+        freshness.failures = STORE_DOWN_FAILURES
+        freshness.failed_at = Instant(5)
+        if others_in_contact:
+            kernel.service('reading').record_followed(Instant(6))
+        freshness.read_succeeded(Instant(15))
+        discovery = kernel.service('discovery')
+        assert discovery.is_recovering(Instant(15.1)) is not others_in_contact
+
     def test_newer_version_at_other_hosts(self) -> None:
         """Guards against a read of the store for each heartbeat."""
         store = RefusingStore()
