Let four hubs of a zone know each other and all other hosts follow two of them

Cause: each host sent a heartbeat each half second to all hosts of its zone, with the list of all live ones, and hosts in use announced themselves to all hosts of other zones. Change: the hosts in use and the next two in rank are the hubs of a zone and exchange heartbeats. Every other host follows two of them. Hubs vouch to their followers for what they hold themselves, and pass changes on. A zone whose hubs all die finds new ones through the store's records. The old exchange between all hosts is gone.

--- a/teaselcove/ingress/catalog.py
+++ b/teaselcove/ingress/catalog.py
@@ -41,7 +41,6 @@
         version: Current version; it never decreases.
         confirmed_at: When the latest read that showed this version to be the
             newest was sent, by this host or another one.
-        own_read_at: When this host's own latest such read was sent.
         current_weights: State of the smooth weighted round robin by route and
             service; it keeps the shares exact over any run of requests.
     """
@@ -51,7 +50,6 @@
         self.configuration: IngressConfiguration | None = None
         self.version = Version(0)
         self.confirmed_at: Instant | None = None
-        self.own_read_at: Instant | None = None
         self.route_tables: dict[str, RouteTable] = {}
         self.organisations_by_key: dict[str, IngressOrganisation] = {}
         self.organisations: dict[OrganisationId, IngressOrganisation] = {}
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -108,7 +108,7 @@
 
     def resolve(self, zone: ZoneName) -> dict[str, Any]:
         """Returns the hosts that callers in a zone should use."""
-        records = self.service('members').in_use(boot_time())
+        records = self.service('hubs').in_use(boot_time())
         log.info(
             'resolve',
             extra={
@@ -155,7 +155,7 @@
                 'servers_age_seconds': self.service('discovery').age(now),
                 'servers': len(self.service('discovery').servers),
                 'hosts_heard': len(fleet.live_hosts(now)),
-                'in_use': int(fleet.is_in_use(now)),
+                'in_use': int(self.service('hubs').is_in_use(now)),
                 'requests_running': len(self.requests.running),
                 'backend_connections_opened': self.pool.connections_opened,
                 'store_calls': sum(self.store.calls.values()),
@@ -293,7 +293,7 @@
         log.info('drain', extra={'figures': {'host': self.boot.host}})
         self.draining = True
         self.service('members').leaving = True
-        self.gossip.send_heartbeats(boot_time())
+        self.gossip.heartbeats.send_heartbeats(boot_time())
         loop = asyncio.get_running_loop()
         grace = self.boot.bounds.grace
         loop.call_later(grace * ACCEPT_GRACE_SHARE, self.stopping.set)
--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -52,7 +52,6 @@
     Attributes:
         confirmed_at: When the latest read that showed this list to be current
             was sent, by this host or another one.
-        own_read_at: When this host's own latest read was sent.
         digest: Checksum of the list, compared between hosts.
         recovered_at: When the store answered again after an outage.
     """
@@ -62,7 +61,6 @@
         self.servers: dict[BackendServerId, KnownServer] = {}
         self.by_service: dict[ServiceId, list[KnownServer]] = {}
         self.confirmed_at: Instant | None = None
-        self.own_read_at: Instant | None = None
         self.digest = 0
         self.recovered_at: Instant | None = None
 
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -118,7 +118,7 @@
         self.kernel = kernel
         self.store = store
         self.gossip = gossip
-        gossip.on_newer_version = self.fetch_newer_version
+        gossip.heartbeats.on_newer_version = self.fetch_newer_version
         self.reading = kernel.service('reading')
         self.consumers = {
             topic: TopicConsumer(store, topic)
@@ -154,7 +154,7 @@
 
     def announce_read(self) -> None:
         """Sends heartbeats to confirm to the other hosts what was read."""
-        self.gossip.send_heartbeats(boot_time())
+        self.gossip.heartbeats.send_heartbeats(boot_time())
 
     def is_serving(self, now: Instant) -> bool:
         """Returns whether the host served a request recently."""
@@ -212,17 +212,15 @@
             return False
         now = boot_time()
         self.read_succeeded(now)
+        catalog = self.kernel.service('catalog')
+        is_first = catalog.version == 0
         adopted = [self.apply_configuration(item) for item in page.records]
         # The store accepts only valid configurations, so a record that cannot
         # be decoded withdraws no key.
-        catalog = self.kernel.service('catalog')
         if page.reaches_end:
             catalog.confirm(page.asked_at)
-            own_read_at = catalog.own_read_at or page.asked_at
-            # A long poll may have been sent before a read that has ended.
-            catalog.own_read_at = max(own_read_at, page.asked_at)
             self.reading.record_contact(page.asked_at)
-        if any(adopted) and self.reading.is_reader(now):
+        if any(adopted) and self.reading.passes_on(is_first, now):
             self.gossip.send_configuration(catalog.configuration)
             self.announce_read()
         return True
@@ -355,7 +353,6 @@
             discovery.remove_unlisted(listed, page.next_offset)
         if page.reaches_end:
             discovery.confirm(page.asked_at)
-            discovery.own_read_at = page.asked_at
             self.reading.record_contact(page.asked_at)
         return True
 
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -20,6 +20,7 @@
     IngressConfiguration,
 )
 from teaselcove.ingress.findings import Outcome
+from teaselcove.ingress.heartbeat_exchange import HeartbeatExchange
 from teaselcove.ingress.members import HEARTBEAT_INTERVAL_S
 from teaselcove.ingress.peer_messages import (
     ConfigurationNews,
@@ -44,14 +45,6 @@
 # Without failures, only every fourth report is sent: successes and numbers of
 # attempts in flight are less urgent.
 SUCCESS_REPORT_EVERY = 4
-# Hosts in use in other availability zones get every second heartbeat.
-OTHER_ZONE_HEARTBEAT_EVERY = 2
-# All hosts of other availability zones get every tenth heartbeat, from which
-# they learn which hosts are in use.
-ANNOUNCEMENT_EVERY = 10
-# Heartbeats to all hosts after this host has entered or left use. The first
-# message to a host is lost, because its connection is still being opened.
-ANNOUNCEMENTS_ON_CHANGE = 4
 # Seconds after which the attempts in flight that a host has reported are
 # dropped.
 REPORT_LIFETIME_S = 1.5
@@ -68,10 +61,7 @@
     """Exchanges messages with the other hosts.
 
     Attributes:
-        on_newer_version: Called when another host has a newer configuration.
-        announcements_left: Number of heartbeats still to be sent to all hosts.
-        live_hosts: Hosts of the zone that were live at the last heartbeat.
-        is_reader: Whether this host was the reader of its zone then.
+        heartbeats: Exchange of heartbeats, sent each half second.
     """
 
     def __init__(
@@ -79,22 +69,24 @@
     ) -> None:
         self.kernel = kernel
         self.members = kernel.service('members')
-        self.on_newer_version: Callable[[], None] = lambda: None
+        self.hubs = kernel.service('hubs')
         self.own = own
-        self.heartbeat_count = 0
         self.report_count = 0
-        self.was_in_use = False
-        self.live_hosts: tuple[HostId, ...] = ()
-        self.is_reader = False
-        self.announcements_left = 0
         self.last_reported: dict[BackendServerId, int] = {}
         self.peer_loads: dict[HostId, PeerLoad] = {}
         self.transport = Transport(
             settings, Incarnation(own.started_ms), self.receive
         )
         self.tokens = TokenExchange(kernel, self.transport.send)
+        self.heartbeats = HeartbeatExchange(
+            kernel,
+            own,
+            self.transport.send,
+            self.update_addresses,
+            self.send_evidence,
+        )
         self.handlers: dict[type, Callable[..., None]] = {
-            Heartbeat: self.handle_heartbeat,
+            Heartbeat: self.heartbeats.handle_heartbeat,
             Report: self.handle_report,
             ServerNews: self.handle_server_news,
             ConfigurationNews: self.handle_configuration_news,
@@ -151,70 +143,22 @@
                 seconds=BLOCKED_S,
             )
 
-    def handle_heartbeat(
-        self, sender: HostId, heartbeat: Heartbeat, now: Instant
-    ) -> None:
-        """Records a heartbeat and applies what it confirms."""
-        known = self.members.peers.get(heartbeat.record.host)
-        renewed = known is None or known.record != heartbeat.record
-        was_in_use = known is not None and known.is_in_use
-        appeared = self.members.record_heartbeat(
-            heartbeat.record,
-            heartbeat.leaving,
-            heartbeat.in_use,
-            frozenset(heartbeat.live_hosts),
-            now,
-            heartbeat.can_read,
-        )
-        self.kernel.service('vouching').record_heartbeat(
-            heartbeat.record.host, heartbeat.sent_at, now
-        )
-        self.apply_confirmations(heartbeat, now)
-        if renewed:
-            self.update_addresses()
-        if appeared:
-            log.info(
-                'host-heard', extra={'figures': {'peer': heartbeat.record.host}}
-            )
-        if (
-            heartbeat.in_use
-            and self.was_in_use
-            and (appeared or not was_in_use)
-        ):
-            self.send_evidence(heartbeat.record.host, now)
-
     def send_evidence(self, host: HostId, now: Instant) -> None:
         """Sends the health of the servers to a host that has entered use."""
         evidence = tuple(self.kernel.service('health').current_evidence(now))
         self.transport.send(host, Report(evidence, self.last_reported))
 
-    def apply_confirmations(self, heartbeat: Heartbeat, now: Instant) -> None:
-        """Applies the times as of which the sender confirms shared state."""
-        catalog = self.kernel.service('catalog')
-        if heartbeat.version > catalog.version:
-            self.on_newer_version()
-        if (
-            heartbeat.keys_as_of is not None
-            and heartbeat.version == catalog.version
-        ):
-            catalog.confirm(min(heartbeat.keys_as_of, now))
-        discovery = self.kernel.service('discovery')
-        known = heartbeat.servers_as_of is not None
-        if known and heartbeat.servers == discovery.digest:
-            discovery.confirm(min(heartbeat.servers_as_of, now))
-        if heartbeat.followed_as_of is not None:
-            reading = self.kernel.service('reading')
-            reading.record_followed(min(heartbeat.followed_as_of, now))
-
     def handle_server_news(
         self, sender: HostId, news: ServerNews, now: Instant
     ) -> None:
         """Applies a changed entry of a backend server."""
         discovery = self.kernel.service('discovery')
         if news.entry is None:
-            discovery.remove(news.server, news.offset, now)
+            changed = discovery.remove(news.server, news.offset, now)
         else:
-            discovery.update(news.entry, news.offset, now)
+            changed = discovery.update(news.entry, news.offset, now)
+        if changed:
+            self.send_to_relying_hosts(news, now)
 
     def handle_configuration_news(
         self, sender: HostId, news: ConfigurationNews, now: Instant
@@ -233,6 +177,7 @@
                     }
                 },
             )
+            self.send_to_relying_hosts(news, now)
 
     def handle_report(
         self, sender: HostId, report: Report, now: Instant
@@ -264,11 +209,11 @@
             if self.members.tick(now):
                 log.warning('paused')
             if tick % ticks_per_heartbeat == 0:
-                self.send_heartbeats(now)
+                self.heartbeats.send_heartbeats(now)
             self.kernel.service('health').check_overdue(now)
             self.send_report(now)
             tick += 1
-            serving = self.was_in_use or bool(self.last_reported)
+            serving = self.heartbeats.was_in_use or bool(self.last_reported)
             pause = REPORT_INTERVAL_S
             if not serving:
                 # Hosts that are not in use have nothing to report.
@@ -276,87 +221,31 @@
                 tick = 0
             await asyncio.sleep(pause)
 
-    def send_heartbeats(self, now: Instant) -> None:
-        """Sends a heartbeat to the hosts that are due for one."""
-        in_use = self.members.is_in_use(now)
-        if in_use != self.was_in_use:
-            self.kernel.decide('in-use', in_use=in_use)
-            self.announcements_left = ANNOUNCEMENTS_ON_CHANGE
-        announce = (
-            self.announcements_left > 0
-            or self.heartbeat_count % ANNOUNCEMENT_EVERY == 0
-        )
-        self.announcements_left = max(0, self.announcements_left - 1)
-        self.was_in_use = in_use
-        self.is_reader = self.kernel.service('reading').is_reader(now)
-        self.live_hosts = tuple(self.members.live_hosts(now))
-        same_zone = [
-            host
-            for host, peer in self.members.peers.items()
-            if peer.record.zone == self.own.zone
-        ]
-        for host in same_zone:
-            self.transport.send(host, self.build_heartbeat(host, True, now))
-        if in_use:
-            for recipient in self.other_zone_recipients(announce, now):
-                self.transport.send(
-                    recipient, self.build_heartbeat(recipient, False, now)
-                )
-        self.heartbeat_count += 1
-
-    def other_zone_recipients(
-        self, announce: bool, now: Instant
-    ) -> list[HostId]:
-        """Returns the hosts of other zones that are due for a heartbeat."""
-        if announce:
-            hosts = self.members.peers.values()
-            records = [peer.record for peer in hosts]
-        elif self.heartbeat_count % OTHER_ZONE_HEARTBEAT_EVERY:
-            records = []
-        else:
-            records = self.members.other_hosts_in_use(now)
-        return [
-            record.host for record in records if record.zone != self.own.zone
-        ]
-
-    def build_heartbeat(
-        self, host: HostId, same_zone: bool, now: Instant
-    ) -> Heartbeat:
-        """Builds the heartbeat for a host.
-
-        Args:
-            host: The recipient.
-            same_zone: Whether the recipient is in this availability zone.
-            now: Current time.
-        """
-        catalog = self.kernel.service('catalog')
-        discovery = self.kernel.service('discovery')
-        vouching = self.kernel.service('vouching')
-        reading = self.kernel.service('reading')
-        return Heartbeat(
-            self.own,
-            self.members.leaving,
-            self.was_in_use,
-            self.live_hosts if same_zone else (),
-            now,
-            catalog.version,
-            vouching.as_of_time(host, catalog.own_read_at),
-            discovery.digest,
-            vouching.as_of_time(host, discovery.own_read_at),
-            reading.can_read(now),
-            reading.followed_as_of(host, same_zone and self.is_reader),
-        )
+    def send_change(
+        self, news: ServerNews | ConfigurationNews, now: Instant
+    ) -> None:
+        """Sends a change that this host has read to the hosts of its zone."""
+        for record in self.hubs.current(now):
+            if record != self.own:
+                self.transport.send(record.host, news)
+        self.send_to_relying_hosts(news, now)
+
+    def send_to_relying_hosts(
+        self, news: ServerNews | ConfigurationNews, now: Instant
+    ) -> None:
+        """Passes a change on to the hosts that rely on this one for it."""
+        hubs = {record.host for record in self.hubs.current(now)}
+        for host in self.members.relying_hosts(now):
+            if host not in hubs:
+                self.transport.send(host, news)
 
     def send_server(self, news: ServerNews) -> None:
         """Sends a changed entry of a server to the hosts of this zone."""
-        for peer in self.members.live(self.own.zone, boot_time()):
-            self.transport.send(peer.record.host, news)
+        self.send_change(news, boot_time())
 
     def send_configuration(self, configuration: IngressConfiguration) -> None:
         """Sends a new configuration to the hosts of this zone."""
-        news = ConfigurationNews(configuration)
-        for peer in self.members.live(self.own.zone, boot_time()):
-            self.transport.send(peer.record.host, news)
+        self.send_change(ConfigurationNews(configuration), boot_time())
 
     def send_report(self, now: Instant) -> None:
         """Sends evidence to the hosts in use, failures without delay."""
@@ -374,10 +263,10 @@
             return
         self.last_reported = in_flight
         report = Report(news, in_flight)
-        for record in self.members.other_hosts_in_use(now):
+        for record in self.hubs.other_hosts_in_use(now):
             self.transport.send(record.host, report)
 
     def send_suspicion(self, suspicion: CrashSuspected) -> None:
         """Sends a suspected crash to the hosts in use."""
-        for record in self.members.other_hosts_in_use(boot_time()):
+        for record in self.hubs.other_hosts_in_use(boot_time()):
             self.transport.send(record.host, suspicion)
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -1,9 +1,7 @@
-"""Membership of the fleet and the choice of the hosts for callers to use.
+"""Membership of the fleet: which hosts are known and which are alive.
 
-Load: backend servers that fail for seconds. A host that handles few requests
-detects such failures late, so a few hosts in each availability zone take all of
-its requests. Hosts that have run longest are preferred, so that a restarted
-host does not take callers from hosts that know the state of the servers.
+Load: hosts that die, freeze, restart or are cut off one way, up to more than
+half of them at once.
 """
 
 import hashlib
@@ -15,6 +13,7 @@
 from teaselcove.ids import HostId, Instant, ZoneName
 from teaselcove.ingress.entities import HostRecord
 from teaselcove.ingress.kernel import ingress_services
+from teaselcove.ingress.peer_messages import Role
 from teaselcove.kernel import Kernel
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -32,6 +31,12 @@
 # and out.
 REQUESTS_PER_CORE = 250
 REQUESTS_PER_MBPS = 12
+# Seconds without a heartbeat after which the hubs of another zone are unknown.
+# Hosts in use send to them every 5 s.
+OTHER_ZONE_TIMEOUT_S = 12
+# Seconds for which hubs go on to send heartbeats to a host that fell silent: it
+# may be cut off one way, and must learn that the others do not hear it.
+SILENT_HOST_S = 60
 # Cached ranks: enough for the hosts of a full availability zone and their
 # earlier processes.
 RANK_CACHE_SIZE = 1024
@@ -46,8 +51,12 @@
     Attributes:
         last_heartbeat_at: When its latest heartbeat arrived, or None.
         live_since: Since when it has been live without interruption.
-        live_hosts: Hosts of its zone that it receives heartbeats from.
+        hears: Best ranked hosts of its zone that it receives heartbeats from,
+            and itself.
         can_read: Whether it has not found the store unreachable recently.
+        role: What it is to this host.
+        relies: Whether it follows this host first and expects it to pass on
+            changes in the store.
     """
 
     record: HostRecord
@@ -55,8 +64,10 @@
     live_since: Instant = Instant(0)
     leaving: bool = False
     is_in_use: bool = False
-    live_hosts: frozenset[HostId] = frozenset()
+    hears: tuple[HostRecord, ...] = ()
     can_read: bool = True
+    role: Role = Role.OTHER
+    relies: bool = False
 
 
 @ingress_services.register('members')
@@ -64,24 +75,32 @@
     """Tracks which hosts are alive and which of them are in use.
 
     Attributes:
+        peers: All known hosts, also dead ones whose record is in the store.
+        heard: Those that sent a heartbeat recently.
         own: This host's record.
         started_at: When the process started.
         resumed_at: When the process last resumed after a pause.
+        searching_since: Since when this host hears no host of its zone.
+        revision: Number of changes of what the other hosts report.
     """
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.peers: dict[HostId, Peer] = {}
+        self.heard: dict[HostId, Peer] = {}
         self.own: HostRecord | None = None
         self.started_at = Instant(0)
         self.resumed_at = Instant(0)
         self.ticked_at: Instant | None = None
+        self.searching_since = Instant(0)
         self.leaving = False
+        self.revision = 0
 
     def start(self, own: HostRecord, now: Instant) -> None:
         """Sets this host's own record and start time."""
         self.own = own
         self.started_at = now
+        self.searching_since = now
 
     def tick(self, now: Instant) -> bool:
         """Records that the process runs; returns whether it was paused."""
@@ -90,6 +109,14 @@
         paused = before is not None and now - before > PAUSE_THRESHOLD_S
         if paused:
             self.resumed_at = now
+            self.revision += 1
+        self.heard = {
+            host: peer
+            for host, peer in self.heard.items()
+            if self.heard_within(peer, SILENT_HOST_S, now)
+        }
+        if self.live(self.zone, now):
+            self.searching_since = now
         return paused
 
     def add_host(self, record: HostRecord) -> bool:
@@ -105,7 +132,7 @@
         record: HostRecord,
         leaving: bool,
         in_use: bool,
-        live_hosts: frozenset[HostId],
+        hears: tuple[HostRecord, ...],
         now: Instant,
         can_read: bool = True,
     ) -> bool:
@@ -116,107 +143,87 @@
             # the newer one, since the clock of a host may jump.
             peer = Peer(record)
             self.peers[record.host] = peer
+        self.heard[record.host] = peer
         was_silent = not self.is_live(peer, now)
         if was_silent:
             peer.live_since = now
+        if was_silent or peer.leaving != leaving or peer.hears != hears:
+            self.revision += 1
         peer.last_heartbeat_at = now
         peer.leaving = leaving
         peer.is_in_use = in_use
-        peer.live_hosts = live_hosts
+        peer.hears = hears
         peer.can_read = can_read
         return was_silent
 
     def is_live(self, peer: Peer, now: Instant) -> bool:
         """Returns whether a heartbeat arrived within the timeout."""
+        return self.heard_within(peer, HEARTBEAT_TIMEOUT_S, now)
+
+    def heard_within(self, peer: Peer, seconds: float, now: Instant) -> bool:
+        """Returns whether a heartbeat arrived within a time."""
         return (
             peer.last_heartbeat_at is not None
-            and now - peer.last_heartbeat_at < HEARTBEAT_TIMEOUT_S
+            and now - peer.last_heartbeat_at < seconds
         )
 
     def live(self, zone: ZoneName, now: Instant) -> list[Peer]:
-        """Returns the live hosts of a zone that are not leaving."""
+        """Returns the hosts of a zone that are heard and not leaving."""
         return [
             peer
-            for peer in self.peers.values()
+            for peer in self.heard.values()
             if peer.record.zone == zone
             and self.is_live(peer, now)
             and not peer.leaving
         ]
 
     def live_hosts(self, now: Instant) -> list[HostId]:
-        """Returns the other live hosts of this host's zone."""
-        zone = self.kernel.settings.zone
-        return [peer.record.host for peer in self.live(zone, now)]
+        """Returns the hosts of this host's zone that it hears."""
+        return [peer.record.host for peer in self.live(self.zone, now)]
+
+    def hubs_and_followers(self, zone: ZoneName) -> list[HostId]:
+        """Returns the hubs and followers heard lately, also silent ones."""
+        return [
+            host
+            for host, peer in self.heard.items()
+            if peer.record.zone == zone
+            and not peer.leaving
+            and peer.role is not Role.OTHER
+        ]
 
     def host_count(self, now: Instant) -> int:
         """Returns the number of known hosts, including this one."""
         return len(self.peers) + 1
 
-    def max_hosts_in_use(self, now: Instant) -> int:
-        """Returns the maximum number of hosts in use over all zones."""
-        zones = len(self.kernel.settings.zones)
-        return zones * self.kernel.settings.ingress.hosts_in_use
-
-    def in_use(self, now: Instant) -> list[HostRecord]:
-        """Returns the hosts that callers of this zone should use."""
-        limit = self.kernel.settings.ingress.hosts_in_use
-        return self.ranked_hosts(now)[:limit]
-
-    def ranked_hosts(self, now: Instant) -> list[HostRecord]:
-        """Returns the eligible hosts of this zone in order of preference."""
-        records = [peer.record for peer in self.live(self.zone, now)]
-        if self.own is not None and self.is_eligible(now):
-            records.append(self.own)
-        return sorted(records, key=rank)
-
     @property
     def zone(self) -> ZoneName:
         """The availability zone of this host."""
         return self.kernel.settings.zone
 
-    def is_eligible(self, now: Instant) -> bool:
-        """Returns whether this host may be in use.
-
-        The other hosts of the zone leave out a host whose heartbeats they do
-        not receive, so it must not include itself either. A host that has
-        just appeared cannot have received this host's heartbeats yet.
-        """
-        if self.leaving or now - self.resumed_at < HEARTBEAT_TIMEOUT_S:
-            return False
-        live = self.live(self.zone, now)
-        if not live:
-            reading = self.kernel.service('reading')
-            return reading.is_store_reachable(now) or not self.peers
-        host = self.kernel.settings.host
-        seen_by_peers = [
-            host in peer.live_hosts
-            for peer in live
-            if now - peer.live_since > SETTLE_S
-        ]
-        return 2 * sum(seen_by_peers) >= len(seen_by_peers)
+    def silent_records(self, zone: ZoneName, now: Instant) -> list[HostRecord]:
+        """Returns the known hosts of a zone that are not heard, by rank."""
+        return sorted(
+            (
+                peer.record
+                for peer in self.peers.values()
+                if peer.record.zone == zone and not self.is_live(peer, now)
+            ),
+            key=rank,
+        )
 
-    def is_in_use(self, now: Instant) -> bool:
-        """Returns whether this host is one that callers should use."""
-        return self.own is not None and self.own in self.in_use(now)
+    def hears_host(self, host: HostId, now: Instant) -> bool:
+        """Returns whether a host is heard and not leaving."""
+        peer = self.peers.get(host)
+        return peer is not None and self.is_live(peer, now) and not peer.leaving
 
-    def other_hosts_in_use(self, now: Instant) -> list[HostRecord]:
-        """Returns the other hosts of all zones that report to be in use."""
+    def relying_hosts(self, now: Instant) -> list[HostId]:
+        """Returns the hosts to which this host passes on changes."""
         return [
-            peer.record
-            for peer in self.peers.values()
-            if peer.is_in_use and self.is_live_in_any_zone(peer, now)
+            peer.record.host
+            for peer in self.live(self.zone, now)
+            if peer.relies
         ]
 
-    def is_live_in_any_zone(self, peer: Peer, now: Instant) -> bool:
-        """Returns whether a heartbeat arrived within twice the timeout.
-
-        Heartbeats to hosts of other zones are sent at half the rate.
-        """
-        return (
-            peer.last_heartbeat_at is not None
-            and now - peer.last_heartbeat_at < 2 * HEARTBEAT_TIMEOUT_S
-        )
-
 
 def capacity_of(cores: float, link_mbps: float) -> float:
     """Returns roughly how many requests per second a host can serve.
--- a/teaselcove/ingress/peer_messages.py
+++ b/teaselcove/ingress/peer_messages.py
@@ -1,8 +1,10 @@
 """Messages that the hosts on the platform exchange."""
 
+from enum import Enum
+
 import msgspec
 
-from teaselcove.ids import BackendServerId, HostId, Instant, Version
+from teaselcove.ids import BackendServerId, Instant, Version
 from teaselcove.ingress.entities import (
     HostRecord,
     IngressConfiguration,
@@ -12,13 +14,29 @@
 from teaselcove.messages import message
 
 
+class Role(Enum):
+    """What the sender of a heartbeat is to its recipient.
+
+    A hub sends heartbeats regularly to hubs and followers, and answers others.
+    """
+
+    HUB = 0
+    FOLLOWER = 1
+    OTHER = 2
+
+
 @message('ingress-heartbeat')
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Reports that the sender is alive, and the state that it has read.
 
     Attributes:
-        live_hosts: Hosts of the sender's availability zone that it receives
-            heartbeats from; empty in heartbeats to other zones.
+        hears: Best ranked hosts of the sender's availability zone that it
+            receives heartbeats from, and itself; None if the recipient has
+            them.
+        hears_digest: Checksum of these hosts.
+        wants_hears: Whether the sender lacks the recipient's list of these.
+        role: What the sender is to the recipient.
+        relies: Whether it expects the recipient to pass on changes.
         sent_at: Time of sending on the sender's clock.
         version: Version of the sender's configuration.
         keys_as_of: Time on the recipient's clock at which that version was
@@ -27,15 +45,19 @@
         servers_as_of: The same as `keys_as_of` for these servers.
         can_read: Whether the sender has not found the store unreachable
             recently.
-        followed_as_of: The same as `keys_as_of` for the sender's contact with
-            the store as it long polls for new configurations, whether or not
-            the version is the newest.
+        followed_as_of: The same as `keys_as_of` for the contact with the store
+            of the host that long polls for new configurations and passes them
+            on, whether or not the version is the newest.
     """
 
     record: HostRecord
     leaving: bool
     in_use: bool
-    live_hosts: tuple[HostId, ...]
+    hears: tuple[HostRecord, ...] | None
+    hears_digest: int
+    wants_hears: bool
+    role: Role
+    relies: bool
     sent_at: Instant
     version: Version
     keys_as_of: Instant | None
--- a/teaselcove/ingress/quotas.py
+++ b/teaselcove/ingress/quotas.py
@@ -70,8 +70,9 @@
         bounds = self.kernel.settings.bounds
         window = bounds.quota_window
         slack = SLACK_SHARE * bounds.quota_slack
-        if members.is_in_use(now):
-            share = 1 / members.max_hosts_in_use(now)
+        hubs = self.kernel.service('hubs')
+        if hubs.is_in_use(now):
+            share = 1 / hubs.max_hosts_in_use
         else:
             share = RESERVE_SHARE / max(1, members.host_count(now))
             slack = 0
--- a/teaselcove/ingress/reading.py
+++ b/teaselcove/ingress/reading.py
@@ -18,6 +18,9 @@
 # contact at least every 1.4 s (its interval and a heartbeat); a change must
 # take effect within 2 s.
 FOLLOW_AGE_S = 1.5
+# The same for a host that is no hub: the hubs that it follows take over from a
+# reader that fails, and pass the change on.
+FOLLOWER_AGE_S = 3
 # Seconds after the start of a process until a reader has confirmed its contact.
 FOLLOW_START_S = 3
 
@@ -77,34 +80,53 @@
         members = self.kernel.service('members')
         if now - members.started_at < SETTLE_S or not self.can_read(now):
             return False
-        for record in members.ranked_hosts(now):
+        for record in self.kernel.service('hubs').current(now):
             if record == members.own:
                 return True
-            if members.peers[record.host].can_read:
+            peer = members.peers.get(record.host)
+            if peer is None or peer.can_read:
                 return False
         return False
 
+    def passes_on(self, is_first: bool, now: Instant) -> bool:
+        """Returns whether this host sends a configuration to its zone.
+
+        Hubs other than the reader read one only if the reader fails to, or
+        after their start.
+
+        Args:
+            is_first: Whether it is the first configuration since the start.
+            now: Present time.
+        """
+        is_hub = self.kernel.service('hubs').is_hub(now)
+        return self.is_reader(now) or (is_hub and not is_first)
+
     def must_follow(self, now: Instant) -> bool:
         """Returns whether this host has to long poll for configurations."""
         if self.is_reader(now):
             return True
-        started_at = self.kernel.service('members').started_at
-        if now - started_at < FOLLOW_START_S:
+        members = self.kernel.service('members')
+        if now - members.started_at < FOLLOW_START_S:
             return False
-        return now - self.followed_at > FOLLOW_AGE_S
+        has_hubs = bool(members.live(members.zone, now))
+        follows = has_hubs and not self.kernel.service('hubs').is_hub(now)
+        limit = FOLLOWER_AGE_S if follows else FOLLOW_AGE_S
+        return now - self.followed_at > limit
 
     def followed_as_of(
-        self, host: HostId, reads_for_host: bool
+        self, host: HostId, passes_on: bool, now: Instant
     ) -> Instant | None:
-        """Returns when this host was last in contact with the store.
+        """Returns when the zone was last known to be in contact with the store.
 
         Args:
             host: The host on whose clock the time is given.
-            reads_for_host: Whether this host reads for its zone and the other
-                host is in the same zone; the result is None otherwise.
+            passes_on: Whether this host passes changes on to the other one; the
+                result is None otherwise.
+            now: Present time.
         """
-        if not reads_for_host:
+        if not passes_on:
             return None
-        return self.kernel.service('vouching').as_of_time(
-            host, self.contacted_at
-        )
+        as_of = self.followed_at
+        if self.is_reader(now) and self.contacted_at is not None:
+            as_of = max(as_of, self.contacted_at)
+        return self.kernel.service('vouching').as_of_time(host, as_of)
--- a/teaselcove/ingress/retry_window.py
+++ b/teaselcove/ingress/retry_window.py
@@ -48,10 +48,10 @@
     def allowed(self, service: ServiceId, now: Instant) -> float:
         """Returns the retries that this host may make in the window."""
         bounds = self.kernel.settings.bounds
-        members = self.kernel.service('members')
+        hubs = self.kernel.service('hubs')
         slack = float(0)
-        if members.is_in_use(now):
-            slack = bounds.retry_slack / members.max_hosts_in_use(now)
+        if hubs.is_in_use(now):
+            slack = bounds.retry_slack / hubs.max_hosts_in_use
         count = len(self.times(service, now).requests)
         return BUDGET_SHARE * (bounds.retry_ratio * count + slack)
 
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -13,6 +13,7 @@
     'catalog',
     'discovery',
     'health',
+    'hubs',
     'members',
     'queueing',
     'quotas',
--- a/teaselcove/ingress/tokens.py
+++ b/teaselcove/ingress/tokens.py
@@ -109,8 +109,8 @@
 
     def ask(self, name: OrganisationId, now: Instant) -> TokenQuery:
         """Requests tokens from all other hosts in use."""
-        members = self.kernel.service('members')
-        hosts = {record.host for record in members.other_hosts_in_use(now)}
+        hubs = self.kernel.service('hubs')
+        hosts = {record.host for record in hubs.other_hosts_in_use(now)}
         query = TokenQuery(hosts, asyncio.Event())
         if not hosts:
             query.done.set()
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -35,16 +35,22 @@
         raise StoreUnavailableError(topic)
 
 
-class DiscardingGossip:
-    """Discards all messages."""
+class DiscardedHeartbeats:
+    """Discards heartbeats."""
 
     on_newer_version = None
 
+    def send_heartbeats(self, now: Instant) -> None:
+        """Discards them."""
+
+
+class DiscardingGossip:
+    """Discards all messages."""
+
     def send_configuration(self, configuration: IngressConfiguration) -> None:
         """Discards it."""
 
-    def send_heartbeats(self, now: Instant) -> None:
-        """Discards them."""
+    heartbeats = DiscardedHeartbeats()
 
 
 async def receive_newer_versions(freshness: Freshness) -> None:
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -259,7 +259,7 @@
         for index in range(2, 9):
             peer = host_record(f'host-{index}')
             members.record_heartbeat(
-                peer, False, False, frozenset(('host-1',)), 3
+                peer, False, False, (host_record('host-1'),), 3
             )
         members.leaving = True
         quotas = kernel.service('quotas')
--- a/tests/test_ingress_members.py
+++ b/tests/test_ingress_members.py
@@ -15,32 +15,38 @@
 
     def test_in_use(self) -> None:
         """Guards against hosts that select different hosts."""
-        members = make_kernel(hosts_in_use=2).service('members')
+        kernel = make_kernel(hosts_in_use=2)
+        members = kernel.service('members')
         for index in range(2, 6):
             members.record_heartbeat(
                 host_record(f'host-{index}', started_ms=index * 10_000),
                 False,
                 False,
-                frozenset(('host-1',)),
+                (host_record('host-1'),),
                 Instant(3),
             )
-        names = [record.host for record in members.in_use(Instant(3))]
+        names = [
+            record.host for record in kernel.service('hubs').in_use(Instant(3))
+        ]
         assert names == ['host-1', 'host-2']
 
     def test_silent_and_leaving_hosts(self) -> None:
         """Guards against selecting hosts that are dead or leaving."""
-        members = make_kernel(hosts_in_use=3).service('members')
-        live_hosts = frozenset(('host-1',))
+        kernel = make_kernel(hosts_in_use=3)
+        members = kernel.service('members')
+        hears = (host_record('host-1'),)
         members.record_heartbeat(
-            host_record('host-2'), False, False, live_hosts, Instant(3)
+            host_record('host-2'), False, False, hears, Instant(3)
         )
         members.record_heartbeat(
-            host_record('host-3'), True, False, live_hosts, Instant(5)
+            host_record('host-3'), True, False, hears, Instant(5)
         )
         members.record_heartbeat(
-            host_record('host-4'), False, False, live_hosts, Instant(5)
+            host_record('host-4'), False, False, hears, Instant(5)
         )
-        names = {record.host for record in members.in_use(Instant(5))}
+        names = {
+            record.host for record in kernel.service('hubs').in_use(Instant(5))
+        }
         assert names == {'host-1', 'host-4'}
 
     def test_host_whose_heartbeats_are_lost(self) -> None:
@@ -48,42 +54,44 @@
 
         The other hosts do not receive its heartbeats and leave it out.
         """
-        members = make_kernel().service('members')
+        kernel = make_kernel()
+        members = kernel.service('members')
         for now in (8, 9, 10):
             members.record_heartbeat(
-                host_record('host-2'), False, False, frozenset(), Instant(now)
+                host_record('host-2'), False, False, (), Instant(now)
             )
-        assert not members.is_in_use(Instant(10))
+        assert not kernel.service('hubs').is_in_use(Instant(10))
 
     def test_clock_that_has_jumped_back(self) -> None:
         """Guards against ignoring a restarted host."""
-        members = make_kernel().service('members')
-        live_hosts = frozenset(('host-1',))
+        kernel = make_kernel()
+        members = kernel.service('members')
+        hears = (host_record('host-1'),)
         for started_ms in (9000, 5000):
             record = host_record('host-2', started_ms=started_ms)
-            members.record_heartbeat(
-                record, False, False, live_hosts, Instant(9)
-            )
+            members.record_heartbeat(record, False, False, hears, Instant(9))
         assert members.peers['host-2'].record.started_ms == 5000
 
     def test_host_that_has_just_appeared(self) -> None:
         """Guards against hosts that leave use whenever another host starts."""
-        members = make_kernel().service('members')
+        kernel = make_kernel()
+        members = kernel.service('members')
         members.record_heartbeat(
             host_record('host-2', started_ms=60_000),
             False,
             False,
-            frozenset(),
+            (),
             Instant(60),
         )
-        assert members.is_in_use(Instant(60.5))
+        assert kernel.service('hubs').is_in_use(Instant(60.5))
 
     def test_pause(self) -> None:
         """Guards against acting on stale state after a pause of the process."""
-        members = make_kernel().service('members')
+        kernel = make_kernel()
+        members = kernel.service('members')
         members.tick(Instant(9))
         assert members.tick(Instant(14))
-        assert not members.is_in_use(Instant(14.1))
+        assert not kernel.service('hubs').is_in_use(Instant(14.1))
 
 
 class TestVouching:
--- a/tests/test_ingress_reading.py
+++ b/tests/test_ingress_reading.py
@@ -21,7 +21,7 @@
 from teaselcove.platform.records import decode_configuration
 from tests.ingress_support import configuration, host_record, make_kernel
 
-LIVE_HOSTS = frozenset(('host-1', 'host-2'))
+HEARD = (host_record('host-1'), host_record('host-2'))
 
 
 def receive_heartbeat(
@@ -30,7 +30,7 @@
     """Simulates the heartbeat of an older host of the zone."""
     record = host_record(host, started_ms=-60_000)
     kernel.service('members').record_heartbeat(
-        record, False, False, LIVE_HOSTS, Instant(now), can_read
+        record, False, False, HEARD, Instant(now), can_read
     )
 
 
@@ -62,7 +62,7 @@
         """Guards against a zone without a reader while a host can read."""
         kernel = make_kernel(hosts_in_use=1)
         receive_heartbeat(kernel, 'host-2', 10, can_read=False)
-        assert not kernel.service('members').is_in_use(Instant(10))
+        assert not kernel.service('hubs').is_in_use(Instant(10))
         assert kernel.service('reading').is_reader(Instant(10))
 
 
@@ -95,10 +95,9 @@
             'host-2', Instant(50), Instant(9)
         )
         reading.record_contact(Instant(9.5))
-        assert reading.followed_as_of('host-2', reads_for_host=True) == Instant(
-            50
-        )
-        assert reading.followed_as_of('host-2', reads_for_host=False) is None
+        now = Instant(10)
+        assert reading.followed_as_of('host-2', True, now) == Instant(50)
+        assert reading.followed_as_of('host-2', False, now) is None
 
 
 class OneVersionStore:
@@ -122,11 +121,18 @@
         return RecordPage((record,), 1, asked_at)
 
 
-class RecordingGossip:
-    """Records the configurations that are sent."""
+class DiscardedHeartbeats:
+    """Discards heartbeats."""
 
     on_newer_version: Any = None
 
+    def send_heartbeats(self, now: Instant) -> None:
+        """Discards them."""
+
+
+class RecordingGossip:
+    """Records the configurations that are sent."""
+
     def __init__(self) -> None:
         self.sent: list[IngressConfiguration] = []
 
@@ -134,8 +140,7 @@
         """Records a configuration."""
         self.sent.append(newest)
 
-    def send_heartbeats(self, now: Instant) -> None:
-        """Discards them."""
+    heartbeats = DiscardedHeartbeats()
 
 
 async def follow(freshness: Freshness) -> None:
