--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -161,6 +161,7 @@
                 'store_calls': sum(self.store.calls.values()),
                 'store_failures': self.store.failures,
                 'log_lines_left_out': self.structured_log.handler.total_dropped,
+                **self.gossip.sent_bytes(),
             }
         )
 
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -110,6 +111,18 @@
         )
         self.transport.update_hosts(HostsListed(entries))
 
+    def sent_bytes(self) -> dict[str, int]:
+        """Returns the bytes sent to other hosts as labelled counters."""
+        total: Counter[str] = Counter()
+        by_type = self.transport.counters.sent_bytes_by_type
+        for (kind, host), count in by_type.items():
+            peer = self.members.peers.get(host)
+            same_zone = peer is not None and peer.record.zone == self.own.zone
+            zone = 'own' if same_zone else 'other'
+            labels = f'{{type="{kind}",zone="{zone}"}}'
+            total[f'peer_sent_bytes{labels}'] += count
+        return dict(total)
+
     def receive(self, event: PeerMessageReceived) -> None:
         """Dispatches a message from another host to its handler."""
         handler = self.handlers.get(type(event.message))
--- a/teaselcove/ingress/readout.py
+++ b/teaselcove/ingress/readout.py
@@ -26,7 +26,11 @@
         self.latency.record_value(int(elapsed * US_PER_S))
 
     def render(self, gauges: dict[str, float]) -> str:
-        """Returns all metrics in the Prometheus text format."""
+        """Returns all metrics in the Prometheus text format.
+
+        Args:
+            gauges: Values by name, which may end in labels.
+        """
         lines = ['# TYPE teaselcove_requests_total counter']
         for outcome, count in sorted(self.outcomes.items()):
             labels = f'{{outcome="{outcome}"}}'
@@ -37,6 +41,7 @@
             labels = f'{{quantile="{percentile / 100}"}}'
             lines.append(f'teaselcove_request_seconds{labels} {value}')
         for name, gauge in sorted(gauges.items()):
-            lines.append(f'# TYPE teaselcove_{name} gauge')
+            if '{' not in name:
+                lines.append(f'# TYPE teaselcove_{name} gauge')
             lines.append(f'teaselcove_{name} {gauge}')
         return '\n'.join([*lines, ''])
--- a/teaselcove/transport.py
+++ b/teaselcove/transport.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -30,7 +31,11 @@
 
 
 class TransportCounters(msgspec.Struct):
-    """Message and byte counts since the start."""
+    """Message and byte counts since the start.
+
+    Attributes:
+        sent_bytes_by_type: Bytes by type of message and recipient.
+    """
 
     sent: int = 0
     sent_bytes: int = 0
@@ -38,6 +43,9 @@
     received_bytes: int = 0
     dropped: int = 0
     malformed: int = 0
+    sent_bytes_by_type: Counter[tuple[str, HostId]] = msgspec.field(
+        default_factory=Counter
+    )
 
 
 class CurveKeys:
@@ -180,6 +188,8 @@
             return
         self.counters.sent += 1
         self.counters.sent_bytes += len(payload)
+        kind = type(body).__name__
+        self.counters.sent_bytes_by_type[kind, host] += len(payload)
 
     def close(self) -> None:
         """Closes all sockets."""
--- a/tests/test_ingress_hubs.py
+++ b/tests/test_ingress_hubs.py
@@ -1,5 +1,7 @@
 """Tests of hubs and followers, with lost messages, cuts, freezes and deaths."""
 
+from collections.abc import Iterator
+
 import pytest
 
 from teaselcove.ids import HostId, Instant
@@ -224,6 +226,14 @@
 class TestPassingOn:
     """Changes in the store reach the hosts that are no hubs."""
 
+    @pytest.fixture(autouse=True)
+    def close_transports(self) -> Iterator[None]:
+        """Closes the sockets, without which the process would not end."""
+        self.opened: list[Gossip] = []
+        yield
+        for gossip in self.opened:
+            gossip.transport.close()
+
     def gossip(self, records: dict[HostRecord, Role]) -> Gossip:
         """Returns the messages of a host that hears the given others."""
         kernel = make_kernel()
@@ -243,6 +253,7 @@
             list_url='',
         )
         gossip = Gossip(kernel, own, settings)
+        self.opened.append(gossip)
         self.sent: list[HostId] = []
         gossip.transport.send = self.record
         return gossip
@@ -251,6 +262,18 @@
         """Records the recipient of a message."""
         self.sent.append(host)
 
+    def test_bytes_by_type_and_zone(self) -> None:
+        """Guards against control traffic whose cause cannot be told."""
+        other = host_record('host-9', zone='b')
+        gossip = self.gossip({host_record('host-2'): Role.HUB, other: Role.HUB})
+        by_type = gossip.transport.counters.sent_bytes_by_type
+        by_type['Report', 'host-2'] = 5
+        by_type['Report', 'host-9'] = 7
+        assert gossip.sent_bytes() == {
+            'peer_sent_bytes{type="Report",zone="own"}': 5,
+            'peer_sent_bytes{type="Report",zone="other"}': 7,
+        }
+
     @pytest.mark.parametrize(
         'news',
         [
