Answer only hubs that take a host for something it is not

A host that is no hub answers each heartbeat of another zone so that its sender learns the hubs. If the sender has left use meanwhile, it answers that answer, and both go on without end. Change: only a heartbeat whose sender is a hub is answered so.

--- a/teaselcove/ingress/heartbeat_exchange.py
+++ b/teaselcove/ingress/heartbeat_exchange.py
@@ -91,15 +91,10 @@
         A host of another zone that takes it for a hub learns the hubs from the
         reply, a hub that takes it for a follower stops to send to it.
         """
-        if self.is_hub:
+        if self.is_hub or heartbeat.role is not Role.HUB:
             return False
-        if heartbeat.record.zone != self.own.zone:
-            return True
-        followed = self.hubs.followed(now)
-        is_followed = any(
-            record.host == heartbeat.record.host for record in followed
-        )
-        return heartbeat.role is Role.HUB and not is_followed
+        followed = [record.host for record in self.hubs.followed(now)]
+        return heartbeat.record.host not in followed
 
     def role_towards(self, host: HostId, followed: list[HostRecord]) -> Role:
         """Returns what this host is to another one."""
--- a/teaselcove/ingress/hubs.py
+++ b/teaselcove/ingress/hubs.py
@@ -42,7 +42,12 @@
 
 @ingress_services.register('hubs')
 class Hubs:
-    """Selects the hubs of this host's zone and the hosts in use among them."""
+    """Selects the hubs of this host's zone and the hosts in use among them.
+
+    Attributes:
+        cached_hubs: Hubs as computed at `cached_at`.
+        cached_revision: Revision of the members that they were computed from.
+    """
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
@@ -124,11 +129,11 @@
         own = self.kernel.settings.host
         for record, count in votes.items():
             if 2 * count >= len(voters) and record.host != own:
-                if not self.is_known_absent(record, now):
+                if not self.is_known_to_leave(record):
                     records.setdefault(record.host, record)
         return tuple(sorted(records.values(), key=rank)[: self.max_hubs])
 
-    def is_known_absent(self, record: HostRecord, now: Instant) -> bool:
+    def is_known_to_leave(self, record: HostRecord) -> bool:
         """Returns whether a host has told this one that it is leaving."""
         peer = self.members.peers.get(record.host)
         return peer is not None and peer.record == record and peer.leaving
@@ -184,7 +189,7 @@
         possible = [record for peer in live for record in peer.hears]
         possible.extend(self.presumed(now))
         for record in possible:
-            if record.host != own and not self.is_known_absent(record, now):
+            if record.host != own and not self.is_known_to_leave(record):
                 hubs.setdefault(record.host, record)
         ranked = sorted(hubs.values(), key=rank)
         return ranked[: self.max_hubs] if live else ranked
--- a/tests/test_ingress_hubs.py
+++ b/tests/test_ingress_hubs.py
@@ -58,6 +58,22 @@
         assert messages <= MAX_IDLE_MESSAGES
         assert sent_bytes <= MAX_IDLE_BYTES
 
+    def test_hosts_that_are_no_hubs(self) -> None:
+        """Guards against two hosts that answer each other's answers."""
+        fleet = HubFleet(10, seed=1)
+        fleet.run(SETTLED_S)
+        idle = [
+            host for host in fleet.hosts.values() if not host.exchange.is_hub
+        ]
+        left, right = (
+            next(host for host in idle if host.record.zone == zone)
+            for zone in 'ab'
+        )
+        fleet.reset_counters()
+        left.exchange.send_heartbeat(right.record.host, Instant(fleet.now))
+        fleet.run(SETTLED_S + 2)
+        assert fleet.sent[left.record.host] <= 2 * MAX_IDLE_MESSAGES
+
     @pytest.mark.parametrize('hosts_per_zone', [10, 40, 100])
     def test_number_of_hubs(self, hosts_per_zone: int) -> None:
         """Guards against a number of hubs that grows with the zone."""
