Log which entry named the server of an attempt, and changes received from other hosts

A change that another host passed on was not logged, nor that a removed server was kept, and an attempt did not say which entry had named its server and how old the list was. Change: one function applies and logs records of servers, read here or received from another host; attempts log the offset of the entry and the age of the list. The new tests cannot run on the code before, which has neither the function nor the fields.

--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -53,12 +53,14 @@
 
     Attributes:
         trial: Whether the request is a trial of the server.
+        list_age: Age in seconds of the list of servers.
     """
 
     known: KnownServer
     trial: bool
     condition: Condition
     in_flight: int
+    list_age: float
 
 
 @ingress_services.register('balance')
@@ -158,7 +160,7 @@
         if allow_trial:
             candidate = self.trial_candidate(service, usable, available, now)
             if candidate is not None:
-                return self.make_pick(candidate, trial=True)
+                return self.make_pick(candidate, now, trial=True)
         return self.pick_best(usable, available, now)
 
     def trial_candidate(
@@ -250,7 +252,7 @@
             )
             if wanted and not others_usable:
                 return self.make_pick(
-                    self.lowest_cost(wanted, now), trial=False
+                    self.lowest_cost(wanted, now), now, trial=False
                 )
         return None
 
@@ -274,8 +276,9 @@
             return Condition.HEALTHY
         return health.condition(known.server.id)
 
-    def make_pick(self, known: KnownServer, trial: bool) -> Pick:
+    def make_pick(self, known: KnownServer, now: Instant, trial: bool) -> Pick:
         """Returns a pick with the present state of the server."""
         name = known.server.id
         condition = self.kernel.service('health').condition(name)
-        return Pick(known, trial, condition, self.load(name))
+        list_age = self.kernel.service('discovery').age(now)
+        return Pick(known, trial, condition, self.load(name), list_age)
--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from teaselcove.entities import Server
-from teaselcove.ids import BackendServerId, Instant, ServiceId
+from teaselcove.ids import BackendServerId, HostId, Instant, ServiceId
 from teaselcove.ingress.entities import ServerEntry
 from teaselcove.ingress.kernel import ingress_services
+from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.kernel import Kernel
 
 # Seconds after the store recovers within which live servers have registered
@@ -81,6 +82,33 @@
         """Records that the store answers again after an outage."""
         self.recovered_at = now
 
+    def apply(
+        self, news: ServerNews, now: Instant, peer: HostId | None = None
+    ) -> bool:
+        """Applies a record of the store; returns whether it had an effect.
+
+        Args:
+            news: The record.
+            now: Present time.
+            peer: The host that passed it on, or None if this host read it.
+        """
+        entry = news.entry
+        if entry is None:
+            changed = self.remove(news.server, news.offset, now)
+        else:
+            changed = self.update(entry, news.offset, now)
+        if changed:
+            self.kernel.decide(
+                'server' if entry else 'server-gone',
+                server=news.server,
+                service=entry.service if entry else None,
+                leaving=entry.leaving if entry else None,
+                kept=news.server in self.servers,
+                offset=news.offset,
+                peer=peer,
+            )
+        return changed
+
     def update(self, entry: ServerEntry, offset: int, now: Instant) -> bool:
         """Applies an entry; returns whether any compared field changed."""
         server_id = entry.server.id
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -345,9 +345,10 @@
         discovery = self.kernel.service('discovery')
         should_notify = self.reading.is_reader(now) and not complete
         for record in page.records:
-            changed = self.apply_server(record, now)
-            if changed and should_notify:
-                self.send_server_change(record)
+            name = BackendServerId(record.key)
+            news = ServerNews(name, record.offset, server_entry(record))
+            if discovery.apply(news, now) and should_notify:
+                self.gossip.send_server(news)
         if complete:
             listed = {BackendServerId(item.key) for item in page.records}
             discovery.remove_unlisted(listed, page.next_offset)
@@ -356,35 +357,6 @@
             self.reading.record_contact(page.asked_at)
         return True
 
-    def apply_server(self, record: KeyedRecord, now: Instant) -> bool:
-        """Applies an entry of a server; returns whether it changed."""
-        discovery = self.kernel.service('discovery')
-        name = BackendServerId(record.key)
-        entry = server_entry(record)
-        if entry is None:
-            changed = discovery.remove(name, record.offset, now)
-        else:
-            changed = discovery.update(entry, record.offset, now)
-        if changed:
-            log.info(
-                'server' if entry else 'server-gone',
-                extra={
-                    'figures': {
-                        'server': name,
-                        'service': entry.service if entry else None,
-                        'leaving': entry.leaving if entry else None,
-                        'offset': record.offset,
-                    }
-                },
-            )
-        return changed
-
-    def send_server_change(self, record: KeyedRecord) -> None:
-        """Sends a changed entry to the other hosts of the zone."""
-        name = BackendServerId(record.key)
-        news = ServerNews(name, record.offset, server_entry(record))
-        self.gossip.send_server(news)
-
 
 def server_entry(record: KeyedRecord) -> ServerEntry | None:
     """Returns the server entry of a record, or None if it has no valid one."""
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -165,12 +165,7 @@
         self, sender: HostId, news: ServerNews, now: Instant
     ) -> None:
         """Applies a changed entry of a backend server."""
-        discovery = self.kernel.service('discovery')
-        if news.entry is None:
-            changed = discovery.remove(news.server, news.offset, now)
-        else:
-            changed = discovery.update(news.entry, news.offset, now)
-        if changed:
+        if self.kernel.service('discovery').apply(news, now, sender):
             self.send_to_relying_hosts(news, now)
 
     def handle_configuration_news(
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -327,6 +327,8 @@
                     'condition': pick.condition.value,
                     'trial': pick.trial,
                     'in_flight': pick.in_flight,
+                    'offset': pick.known.offset,
+                    'list_age_s': round(pick.list_age, 2),
                     'result': end.result.value,
                     'status': end.status,
                     'problem': end.problem,
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -6,6 +6,7 @@
 from teaselcove.ids import Instant
 from teaselcove.ingress.findings import Finding, Outcome
 from teaselcove.ingress.idle_limits import IdleLimits
+from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.ingress.server_record import READMIT_SUCCESSES, Condition
 from tests.ingress_support import (
     COMPLETE,
@@ -70,6 +71,30 @@
         discovery.remove_unlisted({'s0'}, end=20)
         assert not discovery.usable('job', Instant(1))
 
+    def test_change_from_another_host_is_logged(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Guards against removals whose source cannot be told afterwards."""
+        caplog.set_level('INFO')
+        kernel = make_kernel()
+        add_servers(kernel, 1)
+        kernel.service('discovery').apply(
+            ServerNews('s0', 9, None), Instant(1), 'host-2'
+        )
+        figures = caplog.records[-1].figures
+        assert caplog.records[-1].msg == 'server-gone'
+        assert figures['peer'] == 'host-2'
+        assert figures['offset'] == 9
+        assert not figures['kept']
+
+    def test_attempt_names_its_entry(self) -> None:
+        """Guards against attempts at servers for which no entry is named."""
+        kernel = make_kernel()
+        add_servers(kernel, 1, now=1)
+        chosen = pick(kernel, False, 2.5)
+        assert chosen.list_age == pytest.approx(1.5)
+        assert chosen.known.offset == 0
+
 
 class TestHealth:
     """Passive health from the results of attempts."""
