Leave a server whose removal is in doubt out of the checksum of the list

Cause: for two seconds after an outage of the store a host keeps removed servers, since their entries may have expired meanwhile. Their checksum stayed as it was, so the host confirmed the list of a host that had never received the removal, for as long as it ran. Evidence: the test fails on the code before with equal checksums of two hosts, one with and one without the removal. Change: the checksum covers the servers with an entry only. Hosts that dropped the server and hosts that still keep it agree, one that did not hear of it differs and reads the store.

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -147,6 +147,7 @@
             known.expires_at = Instant(
                 (self.recovered_at or now) + REREGISTRATION_S
             )
+            self.rebuild_index()
             return True
         self.servers.pop(server_id)
         self.kernel.service('health').forget(server_id)
@@ -180,11 +181,16 @@
         )
 
     def rebuild_index(self) -> None:
-        """Groups the servers by service and computes the digest."""
+        """Groups the servers by service and computes the digest.
+
+        A server whose removal is in doubt is not part of the digest: hosts that
+        have dropped it have the same list.
+        """
         lines = sorted(
             f'{server_id} {known.service} {known.leaving} {known.started_ms}'
             f' {known.server.address}'
             for server_id, known in self.servers.items()
+            if known.expires_at is None
         )
         self.digest = zlib.crc32('\n'.join(lines).encode())
         self.by_service = {}
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -71,6 +71,23 @@
         discovery.remove_unlisted({'s0'}, end=20)
         assert not discovery.usable('job', Instant(1))
 
+    def test_kept_server_is_not_confirmed_to_others(self) -> None:
+        """Guards against confirming the list of a host without the removal.
+
+        A host that keeps a removed server for a while must not share the
+        checksum of one that still takes the server for registered.
+        """
+        kernel, other = make_kernel(), make_kernel('host-2')
+        for host in (kernel, other):
+            add_servers(host, 2)
+        discovery = kernel.service('discovery')
+        discovery.store_recovered(Instant(10))
+        discovery.remove('s0', 9, Instant(10.1))
+        assert len(discovery.usable('job', Instant(10.2))) == 2
+        assert discovery.digest != other.service('discovery').digest
+        other.service('discovery').remove('s0', 9, Instant(10.2))
+        assert discovery.digest == other.service('discovery').digest
+
     def test_change_from_another_host_is_logged(
         self, caplog: pytest.LogCaptureFixture
     ) -> None:
