Remember removed servers, so that no older record restores them

Cause: nothing was kept of a removed server. A record from before the removal, from a read that overlaps a later one or from another host after a delay, added it again, and no later read covers the removal a second time, so the host confirmed its own wrong list. Evidence: all new tests but the bound on memory fail on the code before; one plays two overlapping reads whose answers arrive in reverse order. Change: the offset of each removal is remembered, and records up to it are dropped. The last 2048 removals are kept.

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -15,6 +15,10 @@
 # again if their entries expired during the outage.
 REREGISTRATION_S = 2
 
+# Removed servers whose removal is remembered, far more than can leave while a
+# message is delayed.
+MAX_REMOVALS = 2048
+
 
 class KnownServer(msgspec.Struct):
     """A backend server and the state of its entry in the store.
@@ -51,6 +55,8 @@
     """Keeps the known servers and selects those that may get new requests.
 
     Attributes:
+        removals: Offset of the latest removal by server, oldest first. Records
+            before it are outdated, but may still arrive.
         confirmed_at: When the latest read that showed this list to be current
             was sent, by this host or another one.
         digest: Checksum of the list, compared between hosts.
@@ -61,6 +67,7 @@
         self.kernel = kernel
         self.servers: dict[BackendServerId, KnownServer] = {}
         self.by_service: dict[ServiceId, list[KnownServer]] = {}
+        self.removals: dict[BackendServerId, int] = {}
         self.confirmed_at: Instant | None = None
         self.digest = 0
         self.recovered_at: Instant | None = None
@@ -113,7 +120,7 @@
         """Applies an entry; returns whether any compared field changed."""
         server_id = entry.server.id
         known = self.servers.get(server_id)
-        if known is not None and known.offset > offset:
+        if self.is_outdated(server_id, offset):
             return False
         if known is not None and known.started_ms != entry.started_ms:
             self.kernel.service('health').forget(server_id)
@@ -138,8 +145,11 @@
         self, server_id: BackendServerId, offset: int, now: Instant
     ) -> bool:
         """Applies the removal of an entry; returns whether it had an effect."""
+        if self.is_outdated(server_id, offset):
+            return False
         known = self.servers.get(server_id)
-        if known is None or known.offset > offset:
+        if known is None:
+            self.record_removal(server_id, offset)
             return False
         if self.is_recovering(now) and not known.leaving:
             # The server may be alive: its entry expired during the outage.
@@ -149,11 +159,30 @@
             )
             self.rebuild_index()
             return True
-        self.servers.pop(server_id)
-        self.kernel.service('health').forget(server_id)
+        self.forget(server_id, offset)
         self.rebuild_index()
         return True
 
+    def is_outdated(self, server_id: BackendServerId, offset: int) -> bool:
+        """Returns whether a newer record of a server was applied before."""
+        known = self.servers.get(server_id)
+        if known is not None and known.offset > offset:
+            return True
+        return self.removals.get(server_id, -1) >= offset
+
+    def forget(self, server_id: BackendServerId, offset: int) -> None:
+        """Drops a server whose entry was removed at an offset."""
+        self.servers.pop(server_id)
+        self.kernel.service('health').forget(server_id)
+        self.record_removal(server_id, offset)
+
+    def record_removal(self, server_id: BackendServerId, offset: int) -> None:
+        """Remembers a removal, and drops the oldest one if there are many."""
+        self.removals.pop(server_id, None)
+        self.removals[server_id] = offset
+        if len(self.removals) > MAX_REMOVALS:
+            self.removals.pop(next(iter(self.removals)))
+
     def remove_unlisted(self, listed: set[BackendServerId], end: int) -> None:
         """Removes servers that are missing from a complete read of the topic.
 
@@ -168,8 +197,8 @@
             if server_id not in listed and known.offset < end
         ]
         for server_id in removed:
-            self.servers.pop(server_id)
-            self.kernel.service('health').forget(server_id)
+            # The removal lies before the end.
+            self.forget(server_id, end - 1)
         if removed:
             self.rebuild_index()
 
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -18,9 +18,15 @@
     Freshness,
     TopicConsumer,
 )
+from teaselcove.ingress.peer_messages import ServerNews
+from teaselcove.platform.records import SERVERS_TOPIC
 from tests.ingress_support import configuration, make_kernel
 
 HEARTBEATS = 50
+SERVER = (
+    b'{"service": "job", "address": "127.0.2.1:1", "zone": "a",'
+    b' "maxConcurrency": 3, "state": "ready"}'
+)
 
 
 class RefusingStore:
@@ -50,6 +56,9 @@
     def send_configuration(self, configuration: IngressConfiguration) -> None:
         """Discards it."""
 
+    def send_server(self, news: ServerNews) -> None:
+        """Discards it."""
+
     heartbeats = DiscardedHeartbeats()
 
 
@@ -100,6 +109,32 @@
         return RecordPage((record,), 1, asked_at, self.reaches_end)
 
 
+class OvertakingStore:
+    """A store whose second answer arrives before its first one."""
+
+    def __init__(self) -> None:
+        self.second_answered = asyncio.Event()
+        self.reads = 0
+
+    async def read(
+        self, topic: str, offset: int, asked_at: Instant, wait: float = 0
+    ) -> RecordPage:
+        """Returns a heartbeat of a server, the second time its removal too."""
+        self.reads += 1
+        heartbeat = KeyedRecord('s0', SERVER, 5)
+        if self.reads == 1:
+            await self.second_answered.wait()
+            return RecordPage((heartbeat,), 6, asked_at)
+        self.second_answered.set()
+        removal = KeyedRecord('s0', None, 6)
+        return RecordPage((heartbeat, removal), 7, asked_at)
+
+
+async def read_servers_twice(freshness: Freshness) -> None:
+    """Reads the servers at intervals and for a request at the same time."""
+    await asyncio.gather(freshness.read_servers(), freshness.read_servers())
+
+
 class TestReads:
     """Concurrent and incomplete reads."""
 
@@ -113,6 +148,14 @@
         asyncio.run(read_twice(consumer))
         assert consumer.offset == 7
 
+    def test_overlapping_reads_of_the_servers(self) -> None:
+        """Guards against a removed server that an older answer restores."""
+        kernel = make_kernel()
+        freshness = Freshness(kernel, OvertakingStore(), DiscardingGossip())
+        freshness.consumers[SERVERS_TOPIC].offset = 5
+        asyncio.run(read_servers_twice(freshness))
+        assert not kernel.service('discovery').usable('job', boot_time())
+
     @pytest.mark.parametrize('reaches_end', [True, False])
     def test_only_whole_reads_confirm(self, reaches_end: bool) -> None:
         """Guards against trusting keys while newer versions are unread."""
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -4,6 +4,7 @@
 
 from teaselcove.events import AttemptResult
 from teaselcove.ids import Instant
+from teaselcove.ingress.discovery import MAX_REMOVALS
 from teaselcove.ingress.findings import Finding, Outcome
 from teaselcove.ingress.idle_limits import IdleLimits
 from teaselcove.ingress.peer_messages import ServerNews
@@ -71,6 +72,41 @@
         discovery.remove_unlisted({'s0'}, end=20)
         assert not discovery.usable('job', Instant(1))
 
+    @pytest.mark.parametrize('unlisted', [False, True])
+    def test_older_record_does_not_restore(self, unlisted: bool) -> None:
+        """Guards against a removed server that is used again.
+
+        Records may be applied late: reads overlap, and messages are delayed.
+        """
+        kernel = make_kernel()
+        add_servers(kernel, 1)
+        discovery = kernel.service('discovery')
+        if unlisted:
+            discovery.remove_unlisted(set(), end=10)
+        else:
+            discovery.remove('s0', 9, Instant(1))
+        assert not discovery.update(entry('s0'), 8, Instant(2))
+        assert not discovery.usable('job', Instant(2))
+        assert discovery.update(entry('s0', started_ms=2), 12, Instant(3))
+        assert discovery.usable('job', Instant(3))
+
+    def test_removal_overtakes_entry(self) -> None:
+        """Guards against a server whose removal arrives before its entry."""
+        kernel = make_kernel()
+        discovery = kernel.service('discovery')
+        assert not discovery.remove('s0', 9, Instant(1))
+        assert not discovery.update(entry('s0'), 8, Instant(2))
+        assert not discovery.usable('job', Instant(2))
+
+    def test_removals_are_remembered_in_bounded_memory(self) -> None:
+        """Guards against memory that grows with every server that left."""
+        kernel = make_kernel()
+        discovery = kernel.service('discovery')
+        for offset in range(MAX_REMOVALS + 10):
+            discovery.remove(f's{offset}', offset, Instant(1))
+        assert len(discovery.removals) == MAX_REMOVALS
+        assert not discovery.update(entry(f's{offset}'), offset - 1, Instant(2))
+
     def test_kept_server_is_not_confirmed_to_others(self) -> None:
         """Guards against confirming the list of a host without the removal.
 
