Take a recovery of the store back if servers wrote their heartbeats meanwhile

Evidence: the new test fails on the code before for a host cut off for 12 s while servers wrote 8 heartbeats each. Change: the records that the host reads after a gap tell: if the most active server wrote heartbeats for all but two intervals of it, no entry expired. A doubted removal also ends 0.2 s before the bound for leaving servers.

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -14,6 +14,12 @@
 # Seconds after the store recovers within which live servers have registered
 # again if their entries expired during the outage.
 REREGISTRATION_S = 2
+# Heartbeat intervals that an outage lasts at least if entries expired in it: an
+# entry expires after three intervals without a heartbeat.
+OUTAGE_INTERVALS = 2
+# Seconds that a request takes to reach a server, by which hosts stop earlier
+# than the bound for leaving servers requires.
+SEND_MARGIN_S = 0.2
 
 # Removed servers whose removal is remembered, far more than can leave while a
 # message is delayed.
@@ -89,6 +95,21 @@
         """Records that the store answers again after an outage."""
         self.recovered_at = now
 
+    def recheck_recovery(self, heartbeats: int, elapsed: float) -> None:
+        """Takes a recovery back if servers could write in the meantime.
+
+        Then only this host was cut off, and no entry expired.
+
+        Args:
+            heartbeats: Heartbeats of the most active server since the last
+                successful read.
+            elapsed: Seconds since that read.
+        """
+        interval = self.kernel.settings.server_heartbeat
+        silence = elapsed - heartbeats * interval
+        if silence < OUTAGE_INTERVALS * interval:
+            self.recovered_at = None
+
     def apply(
         self, news: ServerNews, now: Instant, peer: HostId | None = None
     ) -> bool:
@@ -154,8 +175,9 @@
         if self.is_recovering(now) and not known.leaving:
             # The server may be alive: its entry expired during the outage.
             known.offset = offset
+            bound = self.kernel.settings.bounds.drain - SEND_MARGIN_S
             known.expires_at = Instant(
-                (self.recovered_at or now) + REREGISTRATION_S
+                min((self.recovered_at or now) + REREGISTRATION_S, now + bound)
             )
             self.rebuild_index()
             return True
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from teaselcove.errors import (
@@ -18,6 +19,7 @@
 )
 from teaselcove.ids import BackendServerId, Instant
 from teaselcove.ingress.clock import boot_time
+from teaselcove.ingress.discovery import SEND_MARGIN_S
 from teaselcove.ingress.entities import KeyedRecord, RecordPage, ServerEntry
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.peer_messages import ServerNews
@@ -43,9 +45,6 @@
 # Age in seconds of the list of servers at which a host that serves requests
 # reads it itself. A leaving server must get no requests after 2 s.
 SERVERS_AGE_S = 1.6
-# Seconds that a request takes to reach a server. The list of servers counts as
-# too old this long before the bound for leaving servers.
-SERVERS_MARGIN_S = 0.2
 # Minimum seconds between reads caused by a newer version at another host.
 OUTDATED_INTERVAL_S = 0.8
 # Seconds that a request waits for a read of the store.
@@ -68,12 +67,14 @@
 
     Attributes:
         offset: Offset of the next read, or None before the first one.
+        asked_at: When the latest successful read was sent, or None.
     """
 
     def __init__(self, store: StoreClient, topic: str) -> None:
         self.store = store
         self.topic = topic
         self.offset: int | None = None
+        self.asked_at: Instant | None = None
 
     async def read(self, wait: float = 0) -> tuple[RecordPage, bool]:
         """Returns records and whether they are the newest ones of all keys.
@@ -95,9 +96,11 @@
                 # A concurrent read may have reset the offset because of a
                 # lost history.
                 self.offset = max(self.offset or 0, page.next_offset)
+                self.asked_at = asked_at
                 return page, False
         page = await self.store.newest(self.topic, asked_at)
         self.offset = page.next_offset
+        self.asked_at = asked_at
         return page, True
 
 
@@ -288,7 +291,7 @@
     def should_read_servers(self, now: Instant) -> bool:
         """Returns whether a request has to wait for a read of the servers."""
         discovery = self.kernel.service('discovery')
-        bound = self.kernel.settings.bounds.drain - SERVERS_MARGIN_S
+        bound = self.kernel.settings.bounds.drain - SEND_MARGIN_S
         if discovery.age(now) < bound:
             return False
         store_down = self.failures >= STORE_DOWN_FAILURES
@@ -335,6 +338,7 @@
     async def read_servers(self) -> bool:
         """Reads new server entries; returns whether the store answered."""
         topic = records.SERVERS_TOPIC
+        since = self.consumers[topic].asked_at
         try:
             page, complete = await self.consumers[topic].read()
         except (StoreUnavailableError, CodecError) as error:
@@ -343,6 +347,10 @@
         now = boot_time()
         self.read_succeeded(now)
         discovery = self.kernel.service('discovery')
+        if since is not None and since < self.failed_at and not complete:
+            discovery.recheck_recovery(
+                most_heartbeats(page), page.asked_at - since
+            )
         should_notify = self.reading.is_reader(now) and not complete
         for record in page.records:
             name = BackendServerId(record.key)
@@ -358,6 +366,12 @@
         return True
 
 
+def most_heartbeats(page: RecordPage) -> int:
+    """Returns the number of entries of the server that has most of them."""
+    counts = Counter(item.key for item in page.records if item.value)
+    return max(counts.values(), default=0)
+
+
 def server_entry(record: KeyedRecord) -> ServerEntry | None:
     """Returns the server entry of a record, or None if it has no valid one."""
     if record.value is None:
--- a/teaselcove/ingress/kernel.py
+++ b/teaselcove/ingress/kernel.py
@@ -17,13 +17,18 @@
 
 
 class KernelSettings(msgspec.Struct, frozen=True):
-    """Settings that the services of a host share."""
+    """Settings that the services of a host share.
+
+    Attributes:
+        server_heartbeat: Seconds between heartbeats of backend servers.
+    """
 
     host: HostId
     zone: ZoneName
     zones: tuple[ZoneName, ...]
     bounds: Bounds
     ingress: IngressSettings
+    server_heartbeat: float
 
 
 def kernel_settings(
@@ -31,7 +36,12 @@
 ) -> KernelSettings:
     """Combines platform settings and host settings for the services."""
     return KernelSettings(
-        boot.host, boot.zone, boot.zones, boot.bounds, settings
+        boot.host,
+        boot.zone,
+        boot.zones,
+        boot.bounds,
+        settings,
+        boot.heartbeat_interval,
     )
 
 
--- a/tests/ingress_support.py
+++ b/tests/ingress_support.py
@@ -32,6 +32,7 @@
     retry_slack=60,
     floor_share=0.7,
 )
+SERVER_HEARTBEAT_S = 1.5
 KEY = 'key-of-village'
 COMPLETE = AttemptResult.COMPLETE
 
@@ -48,7 +49,14 @@
 ) -> Kernel:
     """Returns the kernel of a host that started at time 0."""
     kernel = services.build(
-        KernelSettings(host, zone, ZONES, BOUNDS, IngressSettings(**settings)),
+        KernelSettings(
+            host,
+            zone,
+            ZONES,
+            BOUNDS,
+            IngressSettings(**settings),
+            SERVER_HEARTBEAT_S,
+        ),
         seed,
     )
     kernel.service('members').start(host_record(host, zone), Instant(0))
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -20,7 +20,7 @@
 )
 from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.platform.records import SERVERS_TOPIC
-from tests.ingress_support import configuration, make_kernel
+from tests.ingress_support import add_servers, configuration, make_kernel
 
 HEARTBEATS = 50
 SERVER = (
@@ -224,6 +224,27 @@
         assert store.reads == STORE_DOWN_FAILURES
 
 
+class ResumedStore:
+    """A store that was out of reach for 12 s, in which a server has left."""
+
+    def __init__(self, servers: list[str], heartbeats: int) -> None:
+        self.servers = servers
+        self.heartbeats = heartbeats
+
+    async def read(
+        self, topic: str, offset: int, asked_at: Instant, wait: float = 0
+    ) -> RecordPage:
+        """Returns the heartbeats of all servers, then a removal."""
+        keys = self.servers * self.heartbeats
+        written = [
+            KeyedRecord(key, SERVER, offset + index)
+            for index, key in enumerate(keys)
+        ]
+        end = offset + len(written)
+        written.append(KeyedRecord(self.servers[0], None, end))
+        return RecordPage(tuple(written), end + 1, asked_at)
+
+
 class TestRefusedHost:
     """A host whose reads the store refuses while it serves the others."""
 
@@ -243,6 +264,28 @@
         discovery = kernel.service('discovery')
         assert discovery.is_recovering(Instant(15.1)) is not others_in_contact
 
+    @pytest.mark.parametrize('heartbeats', [0, 8])
+    def test_removal_after_a_cut_of_this_host(self, heartbeats: int) -> None:
+        """Guards against keeping a server that left after a cut of this host.
+
+        No other host can tell that the store served it during the cut, but the
+        heartbeats of the servers in the store can.
+        """
+        kernel = make_kernel()
+        names = add_servers(kernel, 2)
+        store = ResumedStore(names, heartbeats)
+        freshness = Freshness(kernel, store, DiscardingGossip())
+        now = boot_time()
+        servers = freshness.consumers[SERVERS_TOPIC]
+        servers.offset = 5
+        servers.asked_at = Instant(now - 12.5)
+        freshness.failures = STORE_DOWN_FAILURES
+        freshness.failed_at = Instant(now - 0.5)
+        asyncio.run(freshness.read_servers())
+        usable = kernel.service('discovery').usable('job', boot_time())
+        was_outage = not heartbeats
+        assert ('s0' in {known.server.id for known in usable}) is was_outage
+
     def test_newer_version_at_other_hosts(self) -> None:
         """Guards against a read of the store for each heartbeat."""
         store = RefusingStore()
