--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -346,11 +346,24 @@
             return False
         now = boot_time()
         self.read_succeeded(now)
-        discovery = self.kernel.service('discovery')
         if since is not None and since < self.failed_at and not complete:
-            discovery.recheck_recovery(
+            self.kernel.service('discovery').recheck_recovery(
                 most_heartbeats(page), page.asked_at - since
             )
+        self.apply_servers(page, complete, now)
+        return True
+
+    def apply_servers(
+        self, page: RecordPage, complete: bool, now: Instant
+    ) -> None:
+        """Applies server entries and sends what changed, as the reader.
+
+        Args:
+            page: The entries.
+            complete: Whether they are the newest ones of all servers.
+            now: Present time.
+        """
+        discovery = self.kernel.service('discovery')
         should_notify = self.reading.is_reader(now) and not complete
         for record in page.records:
             name = BackendServerId(record.key)
@@ -363,7 +376,6 @@
         if page.reaches_end:
             discovery.confirm(page.asked_at)
             self.reading.record_contact(page.asked_at)
-        return True
 
 
 def most_heartbeats(page: RecordPage) -> int:
