Check the list of servers again after a request has waited, and before a hedge

Cause: the age of the list was checked once, before a request waited for a slot. It may wait for half of its time, several seconds, and a hedge starts up to a second later without a check of its own. Evidence: without the two checks both new tests fail: the request goes to the server that left. Change: the check is repeated once there is a slot, which is given back if its server has left, and before a hedge.

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -55,6 +55,11 @@
             self.expires_at,
         )
 
+    def is_usable(self, now: Instant) -> bool:
+        """Returns whether the server may get new requests."""
+        expired = self.expires_at is not None and now >= self.expires_at
+        return not self.leaving and not expired
+
 
 @ingress_services.register('discovery')
 class Discovery:
@@ -253,6 +258,10 @@
         return [
             known
             for known in self.by_service.get(service, ())
-            if not known.leaving
-            and (known.expires_at is None or now < known.expires_at)
+            if known.is_usable(now)
         ]
+
+    def is_usable(self, server_id: BackendServerId, now: Instant) -> bool:
+        """Returns whether a server may get new requests."""
+        known = self.servers.get(server_id)
+        return known is not None and known.is_usable(now)
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -154,13 +154,29 @@
         finally:
             call.waited += boot_time() - asked_at
 
+    async def acquire_listed(self, call: Call) -> Pick:
+        """Waits for a slot of a server that a recent list names.
+
+        The list may become too old while the request waits.
+
+        Raises:
+            RefusedError: If there is no slot in time.
+        """
+        discovery = self.service('discovery')
+        while True:
+            pick = await self.slots.acquire(call)
+            await self.freshness.ensure_servers()
+            if discovery.is_usable(pick.known.server.id, boot_time()):
+                return pick
+            self.slots.release(pick)
+
     async def acquire_with_valid_key(self, call: Call) -> Pick:
         """Waits for a slot, then checks that the key is still valid.
 
         Raises:
             RefusedError: If there is no slot in time or the key was withdrawn.
         """
-        pick = await self.slots.acquire(call)
+        pick = await self.acquire_listed(call)
         withdrawn = self.service('acceptance').recheck_key(call)
         if withdrawn is not None:
             self.slots.release(pick)
@@ -175,7 +191,7 @@
             if hedge_after is not None:
                 await asyncio.wait([attempts[0].task], timeout=hedge_after)
                 if not attempts[0].task.done():
-                    attempts.extend(self.hedge(call, pick))
+                    attempts.extend(await self.hedge(call, attempts[0]))
             return await self.first_success(call, attempts)
         finally:
             for attempt in attempts:
@@ -285,20 +301,23 @@
         latency = self.service('health').median_latency(call.service)
         return max(MIN_HEDGE_S, HEDGE_FACTOR * latency)
 
-    def hedge(self, call: Call, first: Pick) -> list[Attempt]:
+    async def hedge(self, call: Call, first: Attempt) -> list[Attempt]:
         """Starts a hedge if the retry budget and the servers allow it.
 
         Args:
             call: The request.
-            first: The server at which its first attempt is still in flight.
+            first: Its first attempt, which is still in flight.
         """
+        await self.freshness.ensure_servers()
+        if first.task.done():
+            return []
         now = boot_time()
         window = self.service('retry-window')
         if not window.has_budget(
             call.service, now, reserve=HEDGE_BUDGET_RESERVE
         ):
             return []
-        call.exclude = call.exclude | {first.known.server.id}
+        call.exclude = call.exclude | {first.pick.known.server.id}
         pick = self.slots.pick(call, now, hedge=True)
         if pick is None:
             return []
--- a/tests/test_ingress_requests.py
+++ b/tests/test_ingress_requests.py
@@ -7,15 +7,17 @@
 from teaselcove.errors import Reason, Refusal
 from teaselcove.ids import Instant
 from teaselcove.ingress.backend import BackendPool
+from teaselcove.ingress.balance import Pick
 from teaselcove.ingress.calls import RefusedError
 from teaselcove.ingress.clock import boot_time
-from teaselcove.ingress.requests import Requests
+from teaselcove.ingress.requests import Attempt, Requests
 from teaselcove.kernel import Kernel
 from tests.ingress_support import (
     accepted,
     add_servers,
     adopt,
     configuration,
+    entry,
     make_kernel,
 )
 
@@ -52,6 +54,84 @@
     return caught.value.refusal
 
 
+class CurrentList:
+    """A list of servers that is never too old."""
+
+    async def ensure_servers(self) -> None:
+        """Does nothing."""
+
+
+class OutdatedList:
+    """A list of servers whose read shows that one server has left."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    async def ensure_servers(self) -> None:
+        """Replaces the server that has left by another one."""
+        discovery = self.kernel.service('discovery')
+        discovery.remove('s0', 8, boot_time())
+        discovery.update(entry('s1'), 9, boot_time())
+
+
+async def wait_while_a_server_leaves(
+    kernel: Kernel, requests: Requests
+) -> Pick:
+    """Returns the server of a request that waited until a slot was free."""
+    call = accepted(kernel, '/write/1', boot_time())
+    balance = kernel.service('balance')
+    while balance.pick('job', False, frozenset(), boot_time()):
+        balance.started('s0')
+    placing = asyncio.get_running_loop().create_task(
+        requests.acquire_slot(call)
+    )
+    await asyncio.sleep(0)
+    balance.finished('s0')
+    return await placing
+
+
+async def hedge_after_a_server_left(
+    kernel: Kernel, requests: Requests
+) -> list[Attempt]:
+    """Returns the hedges of a request in flight at the server that stays."""
+    call = accepted(kernel, '/read/1', boot_time())
+    balance = kernel.service('balance')
+    first = balance.pick('job', False, frozenset(('s0',)), boot_time())
+    loop = asyncio.get_running_loop()
+    running = loop.create_task(asyncio.Event().wait())
+    try:
+        return await requests.hedge(call, Attempt(first, running))
+    finally:
+        running.cancel()
+
+
+class TestLeavingServer:
+    """Requests for which a server was chosen that has left meanwhile."""
+
+    def test_waiting_request(self) -> None:
+        """Guards against a list that became too old while a request waited."""
+        kernel = make_kernel()
+        adopt(kernel, configuration(), boot_time())
+        add_servers(kernel, 1, boot_time())
+        requests = Requests(
+            kernel, BackendPool(IP, 1000), OutdatedList(kernel), None
+        )
+        chosen = asyncio.run(wait_while_a_server_leaves(kernel, requests))
+        assert chosen.known.server.id == 's1'
+        assert kernel.service('balance').in_flight['s1'] == 1
+
+    def test_hedge(self) -> None:
+        """Guards against hedges at a server that has left."""
+        kernel = make_kernel()
+        adopt(kernel, configuration(), boot_time())
+        add_servers(kernel, 2, boot_time())
+        requests = Requests(
+            kernel, BackendPool(IP, 1000), OutdatedList(kernel), None
+        )
+        hedges = asyncio.run(hedge_after_a_server_left(kernel, requests))
+        assert not hedges
+
+
 class TestWithdrawnKey:
     """Requests whose key is withdrawn while they wait."""
 
@@ -60,7 +140,7 @@
         kernel = make_kernel()
         adopt(kernel, configuration(), boot_time())
         add_servers(kernel, 1, boot_time())
-        requests = Requests(kernel, BackendPool(IP, 1000), None, None)
+        requests = Requests(kernel, BackendPool(IP, 1000), CurrentList(), None)
         refusal = asyncio.run(wait_while_key_is_withdrawn(kernel, requests))
         assert refusal.reason is Reason.BAD_KEY
         assert kernel.service('balance').in_flight == {'s0': 3}
