Decode and log the limit that a backend server names in its answers

Change: the adapter decodes Server-Limit; each attempt logs it. An unreadable limit is logged and passed over. Nothing is decided by it yet.

--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -56,6 +56,13 @@
         """Status code of the response, or None."""
         return self.answer.status if self.answer else None
 
+    @property
+    def limit(self) -> float | None:
+        """Requests per second that the server takes from all hosts, or None."""
+        if self.answer is None:
+            return None
+        return names.decode_server_limit(self.answer.header(names.SERVER_LIMIT))
+
     @property
     def result_for_health(self) -> AttemptResult:
         """Result to record for the server's health: cancelled if stale."""
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -351,6 +351,7 @@
                     'result': end.result.value,
                     'status': end.status,
                     'problem': end.problem,
+                    'limit': end.limit,
                     'elapsed_ms': int(end.elapsed * MS_PER_S),
                     'waited_ms': int(call.waited * MS_PER_S),
                     'age_ms': int((now - call.arrived_at) * MS_PER_S),
--- a/teaselcove/platform/headers.py
+++ b/teaselcove/platform/headers.py
@@ -1,5 +1,10 @@
 """Names of HTTP headers and paths on the users' platform."""
 
+import logging
+import math
+
+log = logging.getLogger('teaselcove.requests')
+
 # Sent by callers and forwarded unchanged.
 ATTEMPT_ID = 'attempt-id'
 # Milliseconds until the sender's deadline.
@@ -13,9 +18,25 @@
 SIGNATURE = 'response-signature'
 NOT_EXECUTED = 'not-executed'
 ANSWERING_SERVER = 'instance-id'
+# Requests per second that a backend server takes from all hosts together.
+SERVER_LIMIT = 'server-limit'
 
 READY_PATH = '/readyz'
 RESOLVE_PATH = '/resolve'
 METRICS_PATH = '/metrics'
 # Query parameter of a resolve request: availability zone of the caller.
 CALLER_ZONE = 'zone'
+
+
+def decode_server_limit(text: str | None) -> float | None:
+    """Returns the limit in an answer, or None if there is no valid one."""
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if limit >= 0 and math.isfinite(limit):
+        return limit
+    log.warning('limit-unreadable', extra={'figures': {'text': text[:32]}})
+    return None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,6 +6,7 @@
 from teaselcove.errors import CodecError, SettingsError
 from teaselcove.ingress.entities import KeyedRecord
 from teaselcove.platform.boot import decode_boot
+from teaselcove.platform.headers import decode_server_limit
 from teaselcove.platform.hosts import decode_host, encode_host
 from teaselcove.platform.records import decode_configuration, decode_server
 from teaselcove.platform.store import (
@@ -158,6 +159,26 @@
             decode_records(encode_record('config', b'{}')[:-1], 0)
 
 
+class TestServerLimit:
+    """Limits that backend servers name in their answers."""
+
+    @pytest.mark.parametrize(
+        ('text', 'limit'),
+        [
+            (None, None),
+            ('2.5', 2.5),
+            ('0', 0),
+            ('-1', None),
+            ('nan', None),
+            ('inf', None),
+            ('many', None),
+        ],
+    )
+    def test_decode(self, text: str | None, limit: float | None) -> None:
+        """Guards against limits that no rate of requests can follow."""
+        assert decode_server_limit(text) == limit
+
+
 class TestBoot:
     """Decoding of the platform's settings file."""
 
