--- a/soak/planted.py
+++ b/soak/planted.py
@@ -87,8 +87,8 @@
     Mutation(
         'leaving',
         'ingress/discovery.py',
-        'if not known.leaving\n',
-        'if known\n',
+        'return not self.leaving and not expired',
+        'return not expired',
     ),
     Mutation(
         'stop',
