Split the limit that a server names between the hosts in use

Cause: nothing read the limit; and no bound of a server's own was shared by the hosts. Class: a bound of the whole fleet that each host keeps by its own view. Change: each place in the list of hosts in use has an equal share of every limit and may save up one request; hosts that are not in use send none. For small limits fewer hosts share it, so that what they save fits into the bound. A limit ends with the first success that names none. Hosts tell each other limits in their reports. Evidence: test_limit_of_a_server fails on the code before (120 requests in 4 s, 17 allowed). Without the check when a server is picked, the tests of the load and of the choice fail too (29 to 42 requests in 4 s, 23 allowed).

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -7,7 +7,8 @@
 import asyncio
 import os
 import random
-from collections import Counter
+import time
+from collections import Counter, deque
 
 import fire
 import msgspec
@@ -32,6 +33,9 @@
 CRASH_EXIT_CODE = 70
 ERROR_STATUS = 500
 CALL_HEADER = 'x-call-id'
+LIMIT_HEADER = 'server-limit'
+# Latest arrivals in the report.
+MAX_ARRIVALS = 10_000
 METHODS = ('GET', 'POST', 'PUT', 'DELETE')
 
 OTHER_REQUEST = 'other'
@@ -47,6 +51,7 @@
         truncate_share: Share of answers whose body is truncated.
         wrong_id: Answers belong to another request and carry its id.
         leaving: The server is draining.
+        limit: Requests per second that the answers name as the limit, or None.
     """
 
     stall: bool = False
@@ -55,6 +60,7 @@
     truncate_share: float = 0
     wrong_id: bool = False
     leaving: bool = False
+    limit: float | None = None
 
 
 class Backend:
@@ -63,6 +69,7 @@
     Attributes:
         running: Calls that hold or wait for a slot.
         runs: Number of runs of each call, by the caller's call id.
+        arrived_at: When each call arrived, on the monotonic clock.
         keys_seen: Number of requests that carried a caller's API key.
     """
 
@@ -78,12 +85,14 @@
         self.slots = asyncio.Semaphore(SLOTS)
         self.runs: Counter[str] = Counter()
         self.organisations: Counter[str] = Counter()
+        self.arrived_at: deque[float] = deque(maxlen=MAX_ARRIVALS)
         self.keys_seen = 0
         self.shed = 0
         self.random = random.Random(server)
 
     async def call(self, request: Request) -> Response:
         """Runs a call once a slot is free, or sheds it if the queue is full."""
+        self.arrived_at.append(time.monotonic())
         body = await request.body()
         if self.running >= SLOTS + QUEUE_CAPACITY:
             self.shed += 1
@@ -142,6 +151,8 @@
             body = body[: len(body) // 2]
         if self.fault.leaving:
             headers['teaselcove-leaving'] = '1'
+        if self.fault.limit is not None:
+            headers[LIMIT_HEADER] = str(self.fault.limit)
         failed = self.random.random() < self.fault.error_share
         status = ERROR_STATUS if failed else 200
         response = Response(status_code=status, headers=headers)
@@ -165,6 +176,7 @@
             'organisations': self.organisations,
             'keys_seen': self.keys_seen,
             'shed': self.shed,
+            'arrived_at': list(self.arrived_at),
         }
         return Response(msgspec.json.encode(counts))
 
--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -95,10 +95,12 @@
             server, 0
         )
 
-    def has_capacity(self, known: KnownServer) -> bool:
+    def has_capacity(self, known: KnownServer, now: Instant) -> bool:
         """Returns whether a server can take another attempt."""
-        limit = known.server.slots + QUEUED_AT_SERVER
-        return self.load(known.server.id) < limit
+        if self.load(known.server.id) >= known.server.slots + QUEUED_AT_SERVER:
+            return False
+        limits = self.kernel.service('server-limits')
+        return limits.allows(known.server.id, now)
 
     def cost(
         self, known: KnownServer, median_latency: float, now: Instant
@@ -154,7 +156,7 @@
         available = [
             known
             for known in usable
-            if self.has_capacity(known)
+            if self.has_capacity(known, now)
             and not health.is_unavailable(known.server.id, now)
         ]
         if allow_trial:
--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -149,7 +149,7 @@
         if self.is_outdated(server_id, offset):
             return False
         if known is not None and known.started_ms != entry.started_ms:
-            self.kernel.service('health').forget(server_id)
+            self.forget_process(server_id)
         renewed = KnownServer(
             entry.server,
             entry.service,
@@ -200,9 +200,14 @@
     def forget(self, server_id: BackendServerId, offset: int) -> None:
         """Drops a server whose entry was removed at an offset."""
         self.servers.pop(server_id)
-        self.kernel.service('health').forget(server_id)
+        self.forget_process(server_id)
         self.record_removal(server_id, offset)
 
+    def forget_process(self, server_id: BackendServerId) -> None:
+        """Drops what is known of a process that left or was restarted."""
+        self.kernel.service('health').forget(server_id)
+        self.kernel.service('server-limits').forget(server_id)
+
     def record_removal(self, server_id: BackendServerId, offset: int) -> None:
         """Remembers a removal, and drops the oldest one if there are many."""
         self.removals.pop(server_id, None)
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -159,7 +159,8 @@
     def send_evidence(self, host: HostId, now: Instant) -> None:
         """Sends the health of the servers to a host that has entered use."""
         evidence = tuple(self.kernel.service('health').current_evidence(now))
-        self.transport.send(host, Report(evidence, self.last_reported))
+        limits = self.kernel.service('server-limits').current()
+        self.transport.send(host, Report(evidence, self.last_reported, limits))
 
     def handle_server_news(
         self, sender: HostId, news: ServerNews, now: Instant
@@ -194,6 +195,7 @@
         health = self.kernel.service('health')
         for evidence in report.evidence:
             health.record_finding(evidence.finding(now), now)
+        self.kernel.service('server-limits').record_report(report.limits, now)
         self.peer_loads[sender] = PeerLoad(report.in_flight, now)
         self.sum_peer_loads(now)
 
@@ -263,14 +265,17 @@
             item.outcome is not Outcome.SUCCESS
             for item in health.unsent_findings
         )
+        limits = self.kernel.service('server-limits')
+        urgent = urgent or bool(limits.changes)
         if not urgent and self.report_count % SUCCESS_REPORT_EVERY:
             return
         in_flight = dict(self.kernel.service('balance').in_flight)
         news = tuple(health.take_evidence(now))
-        if not news and in_flight == self.last_reported:
+        changes = limits.take_changes()
+        if not news and not changes and in_flight == self.last_reported:
             return
         self.last_reported = in_flight
-        report = Report(news, in_flight)
+        report = Report(news, in_flight, changes)
         for record in self.hubs.other_hosts_in_use(now):
             self.transport.send(record.host, report)
 
--- a/teaselcove/ingress/peer_messages.py
+++ b/teaselcove/ingress/peer_messages.py
@@ -94,7 +94,9 @@
 
     Attributes:
         in_flight: The sender's attempts in flight by server.
+        limits: Limits of servers that have changed; None if one has ended.
     """
 
     evidence: tuple[Evidence, ...]
     in_flight: dict[BackendServerId, int]
+    limits: dict[BackendServerId, float | None] = {}
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -268,6 +268,10 @@
         if end.result is AttemptResult.COMPLETE:
             call.answer = end.answer
         failed = is_failure(end.result, end.status)
+        if end.result in {AttemptResult.COMPLETE, AttemptResult.SHED}:
+            self.service('server-limits').record_answer(
+                server, end.limit, not failed, boot_time()
+            )
         if failed and not end.stale:
             call.exclude = call.exclude | {server}
         self.record_crash(call, pick, end)
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -19,6 +19,7 @@
     'quotas',
     'reading',
     'retry_window',
+    'server_limits',
     'vouching',
 )
 
--- a/teaselcove/ingress/slots.py
+++ b/teaselcove/ingress/slots.py
@@ -116,6 +116,7 @@
             return None
         name = pick.known.server.id
         balance.started(name)
+        self.kernel.service('server-limits').started(name)
         self.kernel.service('queueing').started(service, now)
         return pick
 
--- a/tests/hub_fleet.py
+++ b/tests/hub_fleet.py
@@ -58,6 +58,7 @@
         self.now = float(0)
         self.cut: set[tuple[HostId, HostId]] = set()
         self.loss = float(0)
+        self.zones = zones
         self.sent: Counter[HostId] = Counter()
         self.received: Counter[HostId] = Counter()
         self.sent_bytes: Counter[HostId] = Counter()
@@ -72,7 +73,7 @@
 
     def start(self, record: HostRecord, when: float) -> None:
         """Starts a host that finds the records of all others in the store."""
-        kernel = make_kernel(record.host, record.zone)
+        kernel = make_kernel(record.host, record.zone, zones=self.zones)
         kernel.decide = self.ignore
         kernel.service('reading').record_answer(Instant(float('inf')))
         members = kernel.service('members')
--- a/tests/ingress_fleet.py
+++ b/tests/ingress_fleet.py
@@ -47,6 +47,8 @@
     Attributes:
         latency: Mean service time of every server in seconds.
         lost: Servers that refuse connections.
+        limits: Requests per second that servers name as their limit.
+        arrivals: Times at which requests were sent to each server.
         conditions: Log of conditions: time, host, server, new condition.
     """
 
@@ -57,6 +59,8 @@
         self.now = float(0)
         self.latency = 0.05
         self.lost: set[str] = set()
+        self.limits: dict[str, float] = {}
+        self.arrivals: dict[str, list[float]] = {}
         self.requests: list[SimulatedRequest] = []
         self.conditions: list[tuple[float, int, str, str]] = []
         self.busy: dict[str, int] = {}
@@ -132,6 +136,7 @@
         pick = balance.pick(SERVICE, True, frozenset(), now)
         if pick is not None:
             balance.started(pick.known.server.id)
+            kernel.service('server-limits').started(pick.known.server.id)
             kernel.service('queueing').started(SERVICE, now)
         return pick
 
@@ -141,6 +146,7 @@
         health = self.kernels[host].service('health')
         attempt = health.started(server.id, SERVICE, Instant(self.now))
         finish = partial(self.finish, host, attempt, request)
+        self.arrivals.setdefault(server.id, []).append(self.now)
         if server.id in self.lost:
             self.at(
                 self.now + CONNECT_DELAY_S,
@@ -166,6 +172,10 @@
         kernel.service('balance').finished(attempt.server)
         if result is AttemptResult.COMPLETE:
             request.ended_at = self.now
+            limit = self.limits.get(attempt.server)
+            kernel.service('server-limits').record_answer(
+                attempt.server, limit, True, Instant(self.now)
+            )
         else:
             self.arrive_again(host, request)
         self.assign(host)
@@ -211,15 +221,19 @@
         kernel = self.kernels[host]
         kernel.service('health').check_overdue(now)
         news = kernel.service('health').take_evidence(now)
+        limits = kernel.service('server-limits').take_changes()
         for other in self.live_hosts:
             if other != host:
-                self.deliver_report(other, news)
+                self.deliver_report(other, news, limits)
         self.assign(host)
         self.at(self.now + REPORT_INTERVAL_S, partial(self.report, host))
 
-    def deliver_report(self, host: int, news: list) -> None:
+    def deliver_report(
+        self, host: int, news: list, limits: dict[str, float | None]
+    ) -> None:
         """Applies the evidence of another host."""
         kernel = self.kernels[host]
+        kernel.service('server-limits').record_report(limits, Instant(self.now))
         for evidence in news:
             finding = evidence.finding(Instant(self.now))
             kernel.service('health').record_finding(finding, Instant(self.now))
--- a/tests/ingress_support.py
+++ b/tests/ingress_support.py
@@ -45,14 +45,18 @@
 
 
 def make_kernel(
-    host: str = 'host-1', zone: str = 'a', seed: int = 1, **settings: Any
+    host: str = 'host-1',
+    zone: str = 'a',
+    seed: int = 1,
+    zones: tuple[str, ...] = ZONES,
+    **settings: Any,
 ) -> Kernel:
     """Returns the kernel of a host that started at time 0."""
     kernel = services.build(
         KernelSettings(
             host,
             zone,
-            ZONES,
+            zones,
             BOUNDS,
             IngressSettings(**settings),
             SERVER_HEARTBEAT_S,
@@ -138,6 +142,17 @@
     return names
 
 
+def most_in_window(times: list[float], window: float) -> int:
+    """Returns the largest number of times within any window in seconds."""
+    return max(
+        (
+            sum(start <= when < start + window for when in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
 def arrival(path: str = '/read/1', key: str | None = KEY) -> Arrival:
     """Returns a request as read from a caller."""
     request = CallerRequest('GET', path, (), b'')
--- a/tests/test_ingress_process.py
+++ b/tests/test_ingress_process.py
@@ -16,7 +16,7 @@
     PlatformDeployment,
     call,
 )
-from tests.ingress_support import configuration
+from tests.ingress_support import configuration, most_in_window
 
 # Each test worker uses its own loopback networks.
 WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
@@ -103,6 +103,12 @@
     wait_for(lambda: send(deployment, host, key=key)[0] == status)
 
 
+def send_to_all(deployment: PlatformDeployment) -> None:
+    """Sends a request to each host."""
+    for host in deployment.names:
+        send(deployment, host)
+
+
 class TestRequestPath:
     """The path of a request from a caller to a backend server."""
 
@@ -197,6 +203,21 @@
             set_fault_on_servers(deployment, Fault())
         assert statuses == {502}
 
+    def test_limit_of_a_server(self, deployment: PlatformDeployment) -> None:
+        """Guards against more requests than a server takes from all hosts."""
+        limited = next(iter(deployment.servers.values()))
+        deployment.set_fault(limited, Fault(limit=2))
+        try:
+            for _ in range(10):
+                send_to_all(deployment)
+            before = len(deployment.report(limited)['arrived_at'])
+            for _ in range(60):
+                send_to_all(deployment)
+        finally:
+            deployment.set_fault(limited, Fault())
+        arrived_at = deployment.report(limited)['arrived_at'][before:]
+        assert most_in_window(arrived_at, 4) <= 1.5 * 2 * 4 + 5
+
     def test_hedge_goes_elsewhere(self, deployment: PlatformDeployment) -> None:
         """Guards against hedging to the server that hangs."""
         first = next(iter(deployment.servers.values()))
