Drop servers that were kept after an outage of the store and did not return

Cause: a removed server that was kept for two seconds stayed in the host's memory for as long as it ran, unless the store lost its history. Change: each read drops those whose time has passed. Evidence: the new test has no such function to call on the code before.

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -234,6 +234,18 @@
         if removed:
             self.rebuild_index()
 
+    def drop_expired(self, now: Instant) -> None:
+        """Drops servers that were kept after a removal and did not return."""
+        expired = [
+            (server_id, known.offset)
+            for server_id, known in self.servers.items()
+            if known.expires_at is not None and now >= known.expires_at
+        ]
+        for server_id, offset in expired:
+            self.forget(server_id, offset)
+        if expired:
+            self.rebuild_index()
+
     def is_recovering(self, now: Instant) -> bool:
         """Returns whether entries may be missing after a store outage."""
         return (
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -364,6 +364,7 @@
             now: Present time.
         """
         discovery = self.kernel.service('discovery')
+        discovery.drop_expired(now)
         should_notify = self.reading.is_reader(now) and not complete
         for record in page.records:
             name = BackendServerId(record.key)
--- a/tests/test_ingress_servers.py
+++ b/tests/test_ingress_servers.py
@@ -72,6 +72,19 @@
         discovery.remove_unlisted({'s0'}, end=20)
         assert not discovery.usable('job', Instant(1))
 
+    def test_kept_server_is_dropped(self) -> None:
+        """Guards against servers that are kept for ever after an outage."""
+        kernel = make_kernel()
+        add_servers(kernel, 2)
+        discovery = kernel.service('discovery')
+        discovery.store_recovered(Instant(10))
+        discovery.remove('s0', 9, Instant(10.1))
+        discovery.drop_expired(Instant(11))
+        assert len(discovery.servers) == 2
+        discovery.drop_expired(Instant(12))
+        assert set(discovery.servers) == {'s1'}
+        assert not discovery.update(entry('s0'), 8, Instant(13))
+
     @pytest.mark.parametrize('unlisted', [False, True])
     def test_older_record_does_not_restore(self, unlisted: bool) -> None:
         """Guards against a removed server that is used again.
