Tell all hosts of a zone which limits servers have named

Cause: only hosts in use told each other of limits, within their reports. Change: limits have a message of their own. It goes to the hosts in use of other zones, the hubs of the own zone and the hosts that rely on them, and is passed on once. Evidence: test_only_once with limits, test_limit_from_another_zone and test_limit_named_to_this_host; none of them can run on the code before.

--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -26,6 +26,7 @@
 from teaselcove.ingress.peer_messages import (
     ConfigurationNews,
     Heartbeat,
+    LimitNews,
     Report,
     ServerNews,
 )
@@ -90,6 +91,7 @@
             Heartbeat: self.heartbeats.handle_heartbeat,
             Report: self.handle_report,
             ServerNews: self.handle_server_news,
+            LimitNews: self.handle_limit_news,
             ConfigurationNews: self.handle_configuration_news,
             TokensWanted: self.tokens.handle_tokens_wanted,
             TokensGiven: self.tokens.handle_tokens_given,
@@ -159,8 +161,10 @@
     def send_evidence(self, host: HostId, now: Instant) -> None:
         """Sends the health of the servers to a host that has entered use."""
         evidence = tuple(self.kernel.service('health').current_evidence(now))
+        self.transport.send(host, Report(evidence, self.last_reported))
         limits = self.kernel.service('server-limits').current()
-        self.transport.send(host, Report(evidence, self.last_reported, limits))
+        if limits:
+            self.transport.send(host, LimitNews(limits))
 
     def handle_server_news(
         self, sender: HostId, news: ServerNews, now: Instant
@@ -169,6 +173,20 @@
         if self.kernel.service('discovery').apply(news, now, sender):
             self.send_to_relying_hosts(news, now)
 
+    def handle_limit_news(
+        self, sender: HostId, news: LimitNews, now: Instant
+    ) -> None:
+        """Applies limits of servers and passes on those that are new."""
+        limits = self.kernel.service('server-limits')
+        changed = limits.record_report(news.limits, now)
+        if not changed:
+            return
+        peer = self.members.peers.get(sender)
+        if peer is not None and peer.record.zone == self.own.zone:
+            self.send_to_relying_hosts(LimitNews(changed), now)
+        else:
+            self.send_change(LimitNews(changed), now)
+
     def handle_configuration_news(
         self, sender: HostId, news: ConfigurationNews, now: Instant
     ) -> None:
@@ -195,7 +213,6 @@
         health = self.kernel.service('health')
         for evidence in report.evidence:
             health.record_finding(evidence.finding(now), now)
-        self.kernel.service('server-limits').record_report(report.limits, now)
         self.peer_loads[sender] = PeerLoad(report.in_flight, now)
         self.sum_peer_loads(now)
 
@@ -222,6 +239,7 @@
                 self.heartbeats.send_heartbeats(now)
             self.kernel.service('health').check_overdue(now)
             self.send_report(now)
+            self.send_limits(now)
             tick += 1
             serving = self.heartbeats.was_in_use or bool(self.last_reported)
             pause = REPORT_INTERVAL_S
@@ -232,16 +250,16 @@
             await asyncio.sleep(pause)
 
     def send_change(
-        self, news: ServerNews | ConfigurationNews, now: Instant
+        self, news: ServerNews | ConfigurationNews | LimitNews, now: Instant
     ) -> None:
-        """Sends a change that this host has read to the hosts of its zone."""
+        """Sends a change that this host has found to the hosts of its zone."""
         for record in self.hubs.current(now):
             if record != self.own:
                 self.transport.send(record.host, news)
         self.send_to_relying_hosts(news, now)
 
     def send_to_relying_hosts(
-        self, news: ServerNews | ConfigurationNews, now: Instant
+        self, news: ServerNews | ConfigurationNews | LimitNews, now: Instant
     ) -> None:
         """Passes a change on to the hosts that rely on this one for it."""
         hubs = {record.host for record in self.hubs.current(now)}
@@ -265,20 +283,28 @@
             item.outcome is not Outcome.SUCCESS
             for item in health.unsent_findings
         )
-        limits = self.kernel.service('server-limits')
-        urgent = urgent or bool(limits.changes)
         if not urgent and self.report_count % SUCCESS_REPORT_EVERY:
             return
         in_flight = dict(self.kernel.service('balance').in_flight)
         news = tuple(health.take_evidence(now))
-        changes = limits.take_changes()
-        if not news and not changes and in_flight == self.last_reported:
+        if not news and in_flight == self.last_reported:
             return
         self.last_reported = in_flight
-        report = Report(news, in_flight, changes)
+        report = Report(news, in_flight)
         for record in self.hubs.other_hosts_in_use(now):
             self.transport.send(record.host, report)
 
+    def send_limits(self, now: Instant) -> None:
+        """Sends limits that servers have named to this host, or ended."""
+        changes = self.kernel.service('server-limits').take_changes()
+        if not changes:
+            return
+        news = LimitNews(changes)
+        for record in self.hubs.other_hosts_in_use(now):
+            if record.zone != self.own.zone:
+                self.transport.send(record.host, news)
+        self.send_change(news, now)
+
     def send_suspicion(self, suspicion: CrashSuspected) -> None:
         """Sends a suspected crash to the hosts in use."""
         for record in self.hubs.other_hosts_in_use(boot_time()):
--- a/teaselcove/ingress/peer_messages.py
+++ b/teaselcove/ingress/peer_messages.py
@@ -94,9 +94,18 @@
 
     Attributes:
         in_flight: The sender's attempts in flight by server.
-        limits: Limits of servers that have changed; None if one has ended.
     """
 
     evidence: tuple[Evidence, ...]
     in_flight: dict[BackendServerId, int]
-    limits: dict[BackendServerId, float | None] = {}
+
+
+@message('server-limits')
+class LimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """Passes on limits that backend servers have named or ended.
+
+    Attributes:
+        limits: Requests per second by server; None if the limit has ended.
+    """
+
+    limits: dict[BackendServerId, float | None]
--- a/teaselcove/ingress/server_limits.py
+++ b/teaselcove/ingress/server_limits.py
@@ -87,13 +87,21 @@
 
     def record_report(
         self, limits: dict[BackendServerId, float | None], now: Instant
-    ) -> None:
-        """Records limits that another host reports."""
-        for server, limit in limits.items():
-            if limit is not None:
-                self.apply(server, limit, now)
-            elif not self.was_named_recently(server, now):
-                self.end(server)
+    ) -> dict[BackendServerId, float | None]:
+        """Records limits that another host reports; returns the new ones."""
+        return {
+            server: limit
+            for server, limit in limits.items()
+            if self.apply_report(server, limit, now)
+        }
+
+    def apply_report(
+        self, server: BackendServerId, limit: float | None, now: Instant
+    ) -> bool:
+        """Applies a reported limit; returns whether it is new."""
+        if limit is not None:
+            return self.apply(server, limit, now)
+        return not self.was_named_recently(server, now) and self.end(server)
 
     def was_named_recently(self, server: BackendServerId, now: Instant) -> bool:
         """Returns whether a report of the limit's end may be outdated."""
--- a/tests/test_ingress_hubs.py
+++ b/tests/test_ingress_hubs.py
@@ -9,6 +9,7 @@
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.peer_messages import (
     ConfigurationNews,
+    LimitNews,
     Role,
     ServerNews,
 )
@@ -17,6 +18,7 @@
 from tests.hub_fleet import HubFleet, restarted
 from tests.ingress_support import (
     ZONES,
+    add_servers,
     configuration,
     entry,
     host_record,
@@ -295,9 +297,12 @@
         [
             ConfigurationNews(decode_configuration(configuration())),
             ServerNews('s1', 1, entry('s1')),
+            LimitNews({'s0': 2.5}),
         ],
     )
-    def test_only_once(self, news: ConfigurationNews | ServerNews) -> None:
+    def test_only_once(
+        self, news: ConfigurationNews | ServerNews | LimitNews
+    ) -> None:
         """Guards against followers that miss a change, and against loops."""
         hubs = {
             host_record(f'host-{index}', started_ms=-60_000): Role.HUB
@@ -308,8 +313,35 @@
             for index in (1, 2)
         }
         gossip = self.gossip(hubs | followers)
+        add_servers(gossip.kernel, 1)
         handle = gossip.handlers[type(news)]
         handle('host-2', news, Instant(3.1))
         assert sorted(self.sent) == ['follower-1', 'follower-2']
         handle('host-3', news, Instant(3.2))
         assert len(self.sent) == 2
+
+    def test_limit_from_another_zone(self) -> None:
+        """Guards against hosts that learn of a limit from the server only."""
+        hub = host_record('host-2', started_ms=-60_000)
+        follower = host_record('follower-1', started_ms=60_000)
+        other = host_record('host-9', zone='b')
+        gossip = self.gossip(
+            {hub: Role.HUB, follower: Role.FOLLOWER, other: Role.HUB}
+        )
+        add_servers(gossip.kernel, 1)
+        news = LimitNews({'s0': 2.5})
+        gossip.handle_limit_news('host-9', news, Instant(3.1))
+        assert sorted(self.sent) == ['follower-1', 'host-2']
+
+    def test_limit_named_to_this_host(self) -> None:
+        """Guards against limits that only the host knows that was told."""
+        hub = host_record('host-2', started_ms=-60_000)
+        other = host_record('host-9', zone='b')
+        gossip = self.gossip({hub: Role.HUB, other: Role.HUB})
+        add_servers(gossip.kernel, 1)
+        gossip.members.peers['host-9'].is_in_use = True
+        limits = gossip.kernel.service('server-limits')
+        limits.record_answer('s0', 2.5, True, Instant(3.1))
+        gossip.send_limits(Instant(3.2))
+        gossip.send_limits(Instant(3.3))
+        assert sorted(self.sent) == ['host-2', 'host-9']
