Release the slot of a request that is cancelled while the list of servers is read

Cause: the check of the list after a wait holds a slot, and a caller that leaves meanwhile cancelled the request without releasing it. A hedge that waits for a read would also have held back the answer of the first attempt. Change: the slot is released; a hedge is left out while the list is too old. Evidence: test_cancelled_while_servers_are_read fails before (slot of s0 still held).

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -20,7 +20,6 @@
 # Seconds that a request takes to reach a server, by which hosts stop earlier
 # than the bound for leaving servers requires.
 SEND_MARGIN_S = 0.2
-
 # Removed servers whose removal is remembered, far more than can leave while a
 # message is delayed.
 MAX_REMOVALS = 2048
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -165,7 +165,11 @@
         discovery = self.service('discovery')
         while True:
             pick = await self.slots.acquire(call)
-            await self.freshness.ensure_servers()
+            try:
+                await self.freshness.ensure_servers()
+            except asyncio.CancelledError:
+                self.slots.release(pick)
+                raise
             if discovery.is_usable(pick.known.server.id, boot_time()):
                 return pick
             self.slots.release(pick)
@@ -191,7 +195,7 @@
             if hedge_after is not None:
                 await asyncio.wait([attempts[0].task], timeout=hedge_after)
                 if not attempts[0].task.done():
-                    attempts.extend(await self.hedge(call, attempts[0]))
+                    attempts.extend(self.hedge(call, pick))
             return await self.first_success(call, attempts)
         finally:
             for attempt in attempts:
@@ -305,23 +309,23 @@
         latency = self.service('health').median_latency(call.service)
         return max(MIN_HEDGE_S, HEDGE_FACTOR * latency)
 
-    async def hedge(self, call: Call, first: Attempt) -> list[Attempt]:
+    def hedge(self, call: Call, first: Pick) -> list[Attempt]:
         """Starts a hedge if the retry budget and the servers allow it.
 
         Args:
             call: The request.
-            first: Its first attempt, which is still in flight.
+            first: The server at which its first attempt is still in flight.
         """
-        await self.freshness.ensure_servers()
-        if first.task.done():
-            return []
         now = boot_time()
+        if self.freshness.should_read_servers(now):
+            # Waiting for a read would delay the answer of the first attempt.
+            return []
         window = self.service('retry-window')
         if not window.has_budget(
             call.service, now, reserve=HEDGE_BUDGET_RESERVE
         ):
             return []
-        call.exclude = call.exclude | {first.pick.known.server.id}
+        call.exclude = call.exclude | {first.known.server.id}
         pick = self.slots.pick(call, now, hedge=True)
         if pick is None:
             return []
