Check the list of servers a second time only for requests that waited; count limited servers

Cause: a request that got a slot at once checked the list twice. While the store does not answer, that is a second wait of up to 0.6 s, with a slot held. And no metric told that servers limit themselves. Change: the second check is made after 0.1 s of waiting, half of the margin of the check; /metrics serves servers_limited.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -154,6 +154,7 @@
                 'configuration_age_seconds': catalog.age(now),
                 'servers_age_seconds': self.service('discovery').age(now),
                 'servers': len(self.service('discovery').servers),
+                'servers_limited': len(self.service('server-limits').limited),
                 'hosts_heard': len(fleet.live_hosts(now)),
                 'in_use': int(self.service('hubs').is_in_use(now)),
                 'requests_running': len(self.requests.running),
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -28,6 +28,7 @@
     next_step,
 )
 from teaselcove.ingress.clock import boot_time
+from teaselcove.ingress.discovery import SEND_MARGIN_S
 from teaselcove.ingress.freshness import Freshness
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.health import RunningAttempt
@@ -42,6 +43,9 @@
 MIN_HEDGE_S = 0.3
 # Share of the retry budget that hedges leave for retries.
 HEDGE_BUDGET_RESERVE = 0.4
+# Seconds of waiting after which the list of servers is checked again. The list
+# counts as too old by more than this before the bound.
+LIST_CHECK_S = SEND_MARGIN_S / 2
 MS_PER_S = 1000
 
 
@@ -157,14 +161,18 @@
     async def acquire_listed(self, call: Call) -> Pick:
         """Waits for a slot of a server that a recent list names.
 
-        The list may become too old while the request waits.
+        The list may become too old while the request waits. A request that got
+        its slot at once does not check it a second time.
 
         Raises:
             RefusedError: If there is no slot in time.
         """
         discovery = self.service('discovery')
         while True:
+            asked_at = boot_time()
             pick = await self.slots.acquire(call)
+            if boot_time() - asked_at < LIST_CHECK_S:
+                return pick
             try:
                 await self.freshness.ensure_servers()
             except asyncio.CancelledError:
--- a/tests/test_ingress_process.py
+++ b/tests/test_ingress_process.py
@@ -162,6 +162,7 @@
         assert status == 200
         for text in texts:
             assert 'teaselcove_requests_total{outcome="answered-2xx"}' in text
+            assert 'teaselcove_servers_limited 0' in text
             assert KEY not in text
             assert attempt_id not in text
 
