Let a server of the soak that leaves go on leaving when another fault ends

The fault failing-server replaced the whole fault of that server, leaving included, so its entry was ready again. Seen in the logs: the entry leaves at offset 117 and is ready at offset 128, 0.9 s later, on all hosts; every later attempt names offset 128 or 229, both ready. Change: a fault of a server keeps whether it leaves. Evidence: the new test fails before (leaving lost in all four seeds).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from soak.link import LinkFault
 from standins.backend import Fault
 from standins.log_store import StoreFault
@@ -80,9 +82,18 @@
         )
     )
     name = rng.choice(sorted(soak.deployment.servers))
-    await soak.set_fault(soak.deployment.servers[name], fault)
+    await set_server_fault(soak, name, fault)
     await wait_random_duration(rng)
-    await soak.set_fault(soak.deployment.servers[name], Fault())
+    await set_server_fault(soak, name, Fault())
+
+
+async def set_server_fault(soak: 'Soak', name: str, fault: Fault) -> None:
+    """Sets the fault of a server; one that leaves goes on leaving."""
+    leaving = name in soak.evidence.leaving
+    await soak.set_fault(
+        soak.deployment.servers[name],
+        msgspec.structs.replace(fault, leaving=leaving),
+    )
 
 
 @faults.register('store')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,23 @@
 """Tests of the fault soak: its checks find breaches, and a seed passes."""
 
+import asyncio
 import json
+import random
 import subprocess
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
 import pytest
 
+from soak import faults as soak_faults
 from soak.checks import Evidence, Run, Sent, Span, Withdrawal
 from soak.planted import MUTATIONS, Mutation, apply_mutation
+from standins.backend import Fault
 
+ADDRESS = '127.0.0.1:1'
 SEED = 1
 SECONDS = 6
 TIMEOUT_S = 120
@@ -127,6 +133,34 @@
         assert promises(Evidence([cut], [RUN])) == {'stop'}
 
 
+class SoakWithLeavingServer:
+    """A soak whose only server has announced that it leaves."""
+
+    def __init__(self) -> None:
+        self.evidence = Evidence(leaving={'server-0': 1})
+        self.deployment = SimpleNamespace(servers={'server-0': ADDRESS})
+        self.set_faults: list[Fault] = []
+
+    async def set_fault(self, address: str, fault: Fault) -> None:
+        """Records a fault."""
+        self.set_faults.append(fault)
+
+
+class TestFaults:
+    """Faults that overlap."""
+
+    @pytest.mark.parametrize('seed', [1, 2, 3, 4])
+    def test_failing_server_goes_on_leaving(
+        self, seed: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a server that leaves and is ready again."""
+        monkeypatch.setattr(soak_faults, 'MIN_DURATION_S', 0)
+        monkeypatch.setattr(soak_faults, 'MAX_DURATION_S', 0)
+        soak = SoakWithLeavingServer()
+        asyncio.run(soak_faults.failing_server(soak, random.Random(seed)))
+        assert [fault.leaving for fault in soak.set_faults] == [True, True]
+
+
 class TestMutations:
     """Mutations that remove checks from the program."""
 
