--- a/tests/test_ingress_requests.py
+++ b/tests/test_ingress_requests.py
@@ -36,10 +36,10 @@
     await asyncio.sleep(0)
 
 
-async def wait_while_key_is_withdrawn(
+async def queue_request(
     kernel: Kernel, requests: Requests
-) -> Refusal:
-    """Withdraws the key of a queued request; returns its refusal."""
+) -> asyncio.Task[Pick]:
+    """Lets a request wait for the only server, which has no free slot."""
     call = accepted(kernel, '/write/1', boot_time())
     balance = kernel.service('balance')
     while balance.pick('job', False, frozenset(), boot_time()):
@@ -48,8 +48,16 @@
         requests.acquire_slot(call)
     )
     await asyncio.sleep(0)
+    return placing
+
+
+async def wait_while_key_is_withdrawn(
+    kernel: Kernel, requests: Requests
+) -> Refusal:
+    """Withdraws the key of a queued request; returns its refusal."""
+    placing = await queue_request(kernel, requests)
     adopt(kernel, configuration(2, tenants=[]))
-    balance.finished('s0')
+    kernel.service('balance').finished('s0')
     with pytest.raises(RefusedError) as caught:
         await placing
     return caught.value.refusal
@@ -83,15 +91,8 @@
     kernel: Kernel, requests: Requests
 ) -> Pick:
     """Returns the server of a request that waited until a slot was free."""
-    call = accepted(kernel, '/write/1', boot_time())
-    balance = kernel.service('balance')
-    while balance.pick('job', False, frozenset(), boot_time()):
-        balance.started('s0')
-    placing = asyncio.get_running_loop().create_task(
-        requests.acquire_slot(call)
-    )
-    await asyncio.sleep(0)
-    balance.finished('s0')
+    placing = await queue_request(kernel, requests)
+    kernel.service('balance').finished('s0')
     return await placing
 
 
