--- a/standins/log_store.py
+++ b/standins/log_store.py
@@ -3,21 +3,29 @@
 `LogStore` keeps the records without I/O; `StoreServer` serves them over HTTP.
 Run as `python -m standins.log_store ADDRESS PORT`. `PUT /fault` takes a
 `StoreFault` as its JSON body; `PUT /record` lets a test write records on behalf
-of the operator or a backend server.
+of the operator or a backend server. `POST /copy` keeps a copy of all records,
+to which `POST /restore` goes back.
 """
 
 import asyncio
 import base64
+import copy
 from collections import defaultdict
 
 import fire
 import msgspec
 import uvicorn
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.middleware.base import (
+    BaseHTTPMiddleware,
+    RequestResponseEndpoint,
+)
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
+from teaselcove.platform.headers import STORE_ERA
 from teaselcove.platform.store import LENGTH, READ_HEADER
 
 KEYED_PREFIX = 'keyed.'
@@ -90,12 +98,27 @@
 
     Supports conditional and idempotent appends, trimming, and a view of the
     newest record of each key.
+
+    Attributes:
+        copied: Partitions as they were when the copy was made.
+        era: Number of times that the copy was restored.
     """
 
     def __init__(self) -> None:
         self.partitions: defaultdict[tuple[str, int], Partition] = defaultdict(
             lambda: Partition(records=[], producers={}, newest={})
         )
+        self.copied = copy.deepcopy(self.partitions)
+        self.era = 0
+
+    def keep_copy(self) -> None:
+        """Copies all records."""
+        self.copied = copy.deepcopy(self.partitions)
+
+    def restore(self) -> None:
+        """Goes back to the copy; records written since are lost."""
+        self.partitions = copy.deepcopy(self.copied)
+        self.era += 1
 
     def append(
         self,
@@ -180,10 +203,10 @@
         """Encodes the end, the first offset and the records from an offset.
 
         Raises:
-            RejectedError: If the records are no longer retained.
+            RejectedError: If there are no records from this offset on.
         """
         partition = self.partitions[topic, part]
-        if offset < partition.first:
+        if not partition.first <= offset <= partition.end:
             raise RejectedError(410, first=partition.first)
         found = partition.records[offset - partition.first :]
         body = b''.join(LENGTH.pack(len(item)) + item for item in found)
@@ -277,8 +300,12 @@
         deadline = loop.time() + int(query.get('waitMs', 0)) / MS_PER_S
         try:
             await self.apply_fault('log-read')
-            partition = self.store.partitions[topic, part]
-            while offset >= partition.end and loop.time() < deadline:
+            era = self.store.era
+            while (
+                self.store.era == era
+                and offset >= self.store.partitions[topic, part].end
+                and loop.time() < deadline
+            ):
                 await asyncio.sleep(POLL_INTERVAL_S)
             await self.apply_fault('log-read')
             body = self.store.read(topic, part, offset)
@@ -314,6 +341,24 @@
         )
         return json_response({})
 
+    async def keep_copy(self, request: Request) -> Response:
+        """Copies all records."""
+        self.store.keep_copy()
+        return json_response({})
+
+    async def restore(self, request: Request) -> Response:
+        """Goes back to the copy."""
+        self.store.restore()
+        return json_response({'era': self.store.era})
+
+    async def add_era(
+        self, request: Request, call_next: RequestResponseEndpoint
+    ) -> Response:
+        """Adds the era of the store to a response."""
+        response = await call_next(request)
+        response.headers[STORE_ERA] = str(self.store.era)
+        return response
+
     async def change_fault(self, request: Request) -> Response:
         """Replaces the injected faults."""
         self.fault = msgspec.json.decode(await request.body(), type=StoreFault)
@@ -332,9 +377,12 @@
                 Route('/log-newest', self.newest, methods=['GET']),
                 Route('/log-trim', self.trim, methods=['POST']),
                 Route('/record', self.put_record, methods=['PUT']),
+                Route('/copy', self.keep_copy, methods=['POST']),
+                Route('/restore', self.restore, methods=['POST']),
                 Route('/fault', self.change_fault, methods=['PUT']),
                 Route('/report', self.report, methods=['GET']),
-            ]
+            ],
+            middleware=[Middleware(BaseHTTPMiddleware, dispatch=self.add_era)],
         )
 
 
--- a/teaselcove/ids.py
+++ b/teaselcove/ids.py
@@ -17,6 +17,8 @@
 Incarnation = NewType('Incarnation', int)
 Version = NewType('Version', int)
 Offset = NewType('Offset', int)
+# Number of times that the store was restored from an older copy.
+Era = NewType('Era', int)
 StreamName = NewType('StreamName', str)
 SliceId = NewType('SliceId', int)
 
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -153,6 +153,7 @@
                 'configuration_version': catalog.version,
                 'configuration_age_seconds': catalog.age(now),
                 'servers_age_seconds': self.service('discovery').age(now),
+                'store_era': self.service('store-era').current or 0,
                 'servers': len(self.service('discovery').servers),
                 'servers_limited': len(self.service('server-limits').limited),
                 'hosts_heard': len(fleet.live_hosts(now)),
--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -6,7 +6,7 @@
 
 from teaselcove.entities import Server
 from teaselcove.ids import BackendServerId, HostId, Instant, ServiceId
-from teaselcove.ingress.entities import ServerEntry
+from teaselcove.ingress.entities import Position, ServerEntry
 from teaselcove.ingress.kernel import ingress_services
 from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.kernel import Kernel
@@ -29,7 +29,7 @@
     """A backend server and the state of its entry in the store.
 
     Attributes:
-        offset: Offset of its newest record.
+        position: Place of its newest record.
         warm_at: When its warm-up ends and it is as fast as the others.
         expires_at: When it counts as removed, if its entry expired during a
             store outage; None while it has an entry.
@@ -39,7 +39,7 @@
     service: ServiceId
     leaving: bool
     started_ms: int
-    offset: int
+    position: Position
     warm_at: Instant
     expires_at: Instant | None = None
 
@@ -65,7 +65,7 @@
     """Keeps the known servers and selects those that may get new requests.
 
     Attributes:
-        removals: Offset of the latest removal by server, oldest first. Records
+        removals: Place of the latest removal by server, oldest first. Records
             before it are outdated, but may still arrive.
         confirmed_at: When the latest read that showed this list to be current
             was sent, by this host or another one.
@@ -77,7 +77,7 @@
         self.kernel = kernel
         self.servers: dict[BackendServerId, KnownServer] = {}
         self.by_service: dict[ServiceId, list[KnownServer]] = {}
-        self.removals: dict[BackendServerId, int] = {}
+        self.removals: dict[BackendServerId, Position] = {}
         self.confirmed_at: Instant | None = None
         self.digest = 0
         self.recovered_at: Instant | None = None
@@ -126,9 +126,9 @@
         """
         entry = news.entry
         if entry is None:
-            changed = self.remove(news.server, news.offset, now)
+            changed = self.remove(news.server, news.position, now)
         else:
-            changed = self.update(entry, news.offset, now)
+            changed = self.update(entry, news.position, now)
         if changed:
             self.kernel.decide(
                 'server' if entry else 'server-gone',
@@ -137,15 +137,18 @@
                 leaving=entry.leaving if entry else None,
                 kept=news.server in self.servers,
                 offset=news.offset,
+                era=news.era,
                 peer=peer,
             )
         return changed
 
-    def update(self, entry: ServerEntry, offset: int, now: Instant) -> bool:
+    def update(
+        self, entry: ServerEntry, position: Position, now: Instant
+    ) -> bool:
         """Applies an entry; returns whether any compared field changed."""
         server_id = entry.server.id
         known = self.servers.get(server_id)
-        if self.is_outdated(server_id, offset):
+        if self.is_outdated(server_id, position):
             return False
         if known is not None and known.started_ms != entry.started_ms:
             self.forget_process(server_id)
@@ -154,7 +157,7 @@
             entry.service,
             entry.leaving,
             entry.started_ms,
-            offset,
+            position,
             Instant(now + entry.warmup_left),
         )
         self.servers[server_id] = renewed
@@ -167,81 +170,88 @@
         return True
 
     def remove(
-        self, server_id: BackendServerId, offset: int, now: Instant
+        self, server_id: BackendServerId, position: Position, now: Instant
     ) -> bool:
         """Applies the removal of an entry; returns whether it had an effect."""
-        if self.is_outdated(server_id, offset):
+        if self.is_outdated(server_id, position):
             return False
         known = self.servers.get(server_id)
         if known is None:
-            self.record_removal(server_id, offset)
+            self.record_removal(server_id, position)
             return False
         if self.is_recovering(now) and not known.leaving:
             # The server may be alive: its entry expired during the outage.
-            known.offset = offset
+            known.position = position
             bound = self.kernel.settings.bounds.drain - SEND_MARGIN_S
             known.expires_at = Instant(
                 min((self.recovered_at or now) + REREGISTRATION_S, now + bound)
             )
             self.rebuild_index()
             return True
-        self.forget(server_id, offset)
+        self.forget(server_id, position)
         self.rebuild_index()
         return True
 
-    def is_outdated(self, server_id: BackendServerId, offset: int) -> bool:
+    def is_outdated(
+        self, server_id: BackendServerId, position: Position
+    ) -> bool:
         """Returns whether a newer record of a server was applied before."""
         known = self.servers.get(server_id)
-        if known is not None and known.offset > offset:
+        if known is not None and known.position.offset > position.offset:
             return True
-        return self.removals.get(server_id, -1) >= offset
+        removal = self.removals.get(server_id)
+        return removal is not None and removal.offset >= position.offset
 
-    def forget(self, server_id: BackendServerId, offset: int) -> None:
-        """Drops a server whose entry was removed at an offset."""
+    def forget(self, server_id: BackendServerId, position: Position) -> None:
+        """Drops a server whose entry was removed at a position."""
         self.servers.pop(server_id)
         self.forget_process(server_id)
-        self.record_removal(server_id, offset)
+        self.record_removal(server_id, position)
 
     def forget_process(self, server_id: BackendServerId) -> None:
         """Drops what is known of a process that left or was restarted."""
         self.kernel.service('health').forget(server_id)
         self.kernel.service('server-limits').forget(server_id)
 
-    def record_removal(self, server_id: BackendServerId, offset: int) -> None:
+    def record_removal(
+        self, server_id: BackendServerId, position: Position
+    ) -> None:
         """Remembers a removal, and drops the oldest one if there are many."""
         self.removals.pop(server_id, None)
-        self.removals[server_id] = offset
+        self.removals[server_id] = position
         if len(self.removals) > MAX_REMOVALS:
             self.removals.pop(next(iter(self.removals)))
 
-    def remove_unlisted(self, listed: set[BackendServerId], end: int) -> None:
+    def remove_unlisted(
+        self, listed: set[BackendServerId], end: Position
+    ) -> None:
         """Removes servers that are missing from a complete read of the topic.
 
         Args:
             listed: Servers with a record in the read.
-            end: Offset of the end of the topic before the read; servers with
-                newer records are kept.
+            end: End of the topic before the read; servers with newer records
+                are kept.
         """
         removed = [
             server_id
             for server_id, known in self.servers.items()
-            if server_id not in listed and known.offset < end
+            if server_id not in listed and known.position.offset < end.offset
         ]
         for server_id in removed:
             # The removal lies before the end.
-            self.forget(server_id, end - 1)
+            self.forget(server_id, Position(end.era, end.offset - 1))
         if removed:
             self.rebuild_index()
 
     def drop_expired(self, now: Instant) -> None:
         """Drops servers that were kept after a removal and did not return."""
         expired = [
-            (server_id, known.offset)
+            (server_id, known.position)
             for server_id, known in self.servers.items()
             if known.expires_at is not None and now >= known.expires_at
         ]
-        for server_id, offset in expired:
-            self.forget(server_id, offset)
+        for server_id, position in expired:
+            self.forget(server_id, position)
         if expired:
             self.rebuild_index()
 
--- a/teaselcove/ingress/entities.py
+++ b/teaselcove/ingress/entities.py
@@ -4,6 +4,7 @@
 
 from teaselcove.entities import Server
 from teaselcove.ids import (
+    Era,
     HostId,
     Instant,
     OrganisationId,
@@ -136,6 +137,16 @@
     capacity: float = 0
 
 
+class Position(msgspec.Struct, frozen=True, order=True):
+    """Place of a record in the store, in the order of writing.
+
+    Offsets start again at a lower one in each era.
+    """
+
+    era: Era
+    offset: int
+
+
 class KeyedRecord(msgspec.Struct, frozen=True):
     """The newest record of a key; the value is None if it was deleted."""
 
@@ -152,9 +163,11 @@
         asked_at: When the read was sent.
         reaches_end: Whether every record that the store had acknowledged by
             asked_at is in this or an earlier result.
+        era: Era of the store in which the records were read.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     asked_at: Instant
     reaches_end: bool = True
+    era: Era = Era(0)
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -17,10 +17,15 @@
     HistoryLostError,
     StoreUnavailableError,
 )
-from teaselcove.ids import BackendServerId, Instant
+from teaselcove.ids import BackendServerId, Era, Instant
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.discovery import SEND_MARGIN_S
-from teaselcove.ingress.entities import KeyedRecord, RecordPage, ServerEntry
+from teaselcove.ingress.entities import (
+    KeyedRecord,
+    Position,
+    RecordPage,
+    ServerEntry,
+)
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.kernel import Kernel
@@ -163,8 +168,9 @@
         """Returns whether the host served a request recently."""
         return now - self.served_at < IDLE_S
 
-    def read_succeeded(self, now: Instant) -> None:
+    def read_succeeded(self, era: Era, now: Instant) -> None:
         """Records that the store answered a read."""
+        self.kernel.service('store-era').observe(era, now)
         if self.failures >= STORE_DOWN_FAILURES:
             log.warning(
                 'store-regained', extra={'figures': {'failed': self.failures}}
@@ -214,10 +220,12 @@
             self.read_failed(topic, error)
             return False
         now = boot_time()
-        self.read_succeeded(now)
+        self.read_succeeded(page.era, now)
         catalog = self.kernel.service('catalog')
         is_first = catalog.version == 0
-        adopted = [self.apply_configuration(item) for item in page.records]
+        adopted = [
+            self.apply_configuration(item, page.era) for item in page.records
+        ]
         # The store accepts only valid configurations, so a record that cannot
         # be decoded withdraws no key.
         if page.reaches_end:
@@ -228,7 +236,7 @@
             self.announce_read()
         return True
 
-    def apply_configuration(self, record: KeyedRecord) -> bool:
+    def apply_configuration(self, record: KeyedRecord, era: Era) -> bool:
         """Applies a configuration; returns whether it is newer."""
         if record.key != records.CONFIGURATION_KEY or record.value is None:
             return False
@@ -251,6 +259,7 @@
                         'version': configuration.version,
                         'before': before,
                         'offset': record.offset,
+                        'era': era,
                     }
                 },
             )
@@ -345,7 +354,7 @@
             self.read_failed(topic, error)
             return False
         now = boot_time()
-        self.read_succeeded(now)
+        self.read_succeeded(page.era, now)
         if since is not None and since < self.failed_at and not complete:
             self.kernel.service('discovery').recheck_recovery(
                 most_heartbeats(page), page.asked_at - since
@@ -368,12 +377,15 @@
         should_notify = self.reading.is_reader(now) and not complete
         for record in page.records:
             name = BackendServerId(record.key)
-            news = ServerNews(name, record.offset, server_entry(record))
+            news = ServerNews(
+                name, record.offset, server_entry(record), page.era
+            )
             if discovery.apply(news, now) and should_notify:
                 self.gossip.send_server(news)
         if complete:
             listed = {BackendServerId(item.key) for item in page.records}
-            discovery.remove_unlisted(listed, page.next_offset)
+            end = Position(page.era, page.next_offset)
+            discovery.remove_unlisted(listed, end)
         if page.reaches_end:
             discovery.confirm(page.asked_at)
             self.reading.record_contact(page.asked_at)
--- a/teaselcove/ingress/heartbeat_exchange.py
+++ b/teaselcove/ingress/heartbeat_exchange.py
@@ -79,6 +79,9 @@
         self.kernel.service('vouching').record_heartbeat(
             heartbeat.record.host, heartbeat.sent_at, now
         )
+        if heartbeat.era is not None:
+            era = self.kernel.service('store-era')
+            era.observe(heartbeat.era, now, sender)
         confirmed = self.apply_confirmations(heartbeat, now)
         if self.is_hub and (confirmed or self.hubs.current(now) != hubs_before):
             self.send_to_followers(now)
@@ -242,5 +245,6 @@
             vouching.as_of_time(host, discovery.confirmed_at),
             reading.can_read(now),
             reading.followed_as_of(host, same_zone and self.is_hub, now),
+            self.kernel.service('store-era').current,
         )
         self.send(host, heartbeat)
--- a/teaselcove/ingress/peer_messages.py
+++ b/teaselcove/ingress/peer_messages.py
@@ -4,10 +4,11 @@
 
 import msgspec
 
-from teaselcove.ids import BackendServerId, Instant, Version
+from teaselcove.ids import BackendServerId, Era, Instant, Version
 from teaselcove.ingress.entities import (
     HostRecord,
     IngressConfiguration,
+    Position,
     ServerEntry,
 )
 from teaselcove.ingress.findings import Evidence
@@ -48,6 +49,7 @@
         followed_as_of: The same as `keys_as_of` for the contact with the store
             of the host that long polls for new configurations and passes them
             on, whether or not the version is the newest.
+        era: Latest era of the store that the sender has heard of, or None.
     """
 
     record: HostRecord
@@ -65,6 +67,7 @@
     servers_as_of: Instant | None
     can_read: bool
     followed_as_of: Instant | None
+    era: Era | None = None
 
 
 @message('configuration-news')
@@ -81,11 +84,18 @@
     Attributes:
         offset: Offset of the entry in the store.
         entry: The entry, or None if it was removed.
+        era: Era of the store in which the entry was read.
     """
 
     server: BackendServerId
     offset: int
     entry: ServerEntry | None
+    era: Era = Era(0)
+
+    @property
+    def position(self) -> Position:
+        """Place of the entry in the store."""
+        return Position(self.era, self.offset)
 
 
 @message('ingress-report')
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -20,6 +20,7 @@
     'reading',
     'retry_window',
     'server_limits',
+    'store_era',
     'vouching',
 )
 
--- a/teaselcove/platform/headers.py
+++ b/teaselcove/platform/headers.py
@@ -3,6 +3,8 @@
 import logging
 import math
 
+from teaselcove.ids import Era
+
 log = logging.getLogger('teaselcove.requests')
 
 # Sent by callers and forwarded unchanged.
@@ -20,6 +22,8 @@
 ANSWERING_SERVER = 'instance-id'
 # Requests per second that a backend server takes from all hosts together.
 SERVER_LIMIT = 'server-limit'
+# Set by the store on responses: how often it was restored from a copy.
+STORE_ERA = 'store-era'
 
 READY_PATH = '/readyz'
 RESOLVE_PATH = '/resolve'
@@ -40,3 +44,13 @@
         return limit
     log.warning('limit-unreadable', extra={'figures': {'text': text[:32]}})
     return None
+
+
+def decode_store_era(text: str | None) -> Era | None:
+    """Returns the era in an answer, or None if there is no valid one."""
+    if text is None:
+        return None
+    if text.isascii() and text.isdigit():
+        return Era(int(text))
+    log.warning('era-unreadable', extra={'figures': {'text': text[:32]}})
+    return None
--- a/teaselcove/platform/store.py
+++ b/teaselcove/platform/store.py
@@ -18,8 +18,9 @@
     HttpConnection,
     connect,
 )
-from teaselcove.ids import Instant
+from teaselcove.ids import Era, Instant
 from teaselcove.ingress.entities import KeyedRecord, RecordPage
+from teaselcove.platform import headers as names
 
 # A store that is a hundred times slower than its usual 4 ms answers in 0.4 s,
 # and ten times that would be 4 s. The timeout is shorter because a store that
@@ -47,6 +48,14 @@
     value: str | None = None
 
 
+class StoreAnswer(msgspec.Struct, frozen=True):
+    """Response of the store and the era in which it was given."""
+
+    status: int
+    body: bytes
+    era: Era
+
+
 class NewestReply(msgspec.Struct, rename='camel'):
     """Page of the newest record of each key."""
 
@@ -117,10 +126,12 @@
         idle: Idle connections.
         calls: Number of calls by name since the start.
         failures: Number of failed calls since the start.
+        era: Era of the latest response.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.era = Era(0)
         self.idle: list[HttpConnection] = []
         self.calls: dict[str, int] = {}
         self.failures = 0
@@ -132,8 +143,8 @@
         query: dict[str, str],
         body: bytes = b'',
         wait: float = 0,
-    ) -> tuple[int, bytes]:
-        """Calls the store; returns the status and body of the response.
+    ) -> StoreAnswer:
+        """Calls the store; returns its response.
 
         Raises:
             StoreUnavailableError: If the call was not sent, or a read got no
@@ -162,7 +173,10 @@
             self.idle.append(connection)
         else:
             connection.close()
-        return answer.status, answer.body
+        era = names.decode_store_era(answer.header(names.STORE_ERA))
+        if era is not None:
+            self.era = era
+        return StoreAnswer(answer.status, answer.body, self.era)
 
     async def acquire_connection(self, name: str) -> HttpConnection:
         """Returns an idle connection, or opens a new one.
@@ -223,25 +237,27 @@
         query = {'topic': topic, 'part': '0', 'from': str(offset)}
         if wait:
             query['waitMs'] = str(int(wait * MS_PER_S))
-        status, body = await self.call('GET', 'log-read', query, wait=wait)
-        if status == GONE_STATUS:
+        answer = await self.call('GET', 'log-read', query, wait=wait)
+        if answer.status == GONE_STATUS:
             raise HistoryLostError(
-                f'{topic}: records from {offset} are no longer retained'
+                f'{topic}: the store has no records from {offset}'
+                f' in era {answer.era}'
             )
-        if status != OK_STATUS:
-            raise self.status_error('log-read', status)
-        if len(body) < READ_HEADER.size:
+        if answer.status != OK_STATUS:
+            raise self.status_error('log-read', answer.status)
+        if len(answer.body) < READ_HEADER.size:
             raise CodecError(
-                f'{topic}: response of {len(body)} bytes is too short'
+                f'{topic}: response of {len(answer.body)} bytes is too short'
             )
-        end = READ_HEADER.unpack_from(body)[0]
-        records = decode_records(body[READ_HEADER.size :], offset)
+        end = READ_HEADER.unpack_from(answer.body)[0]
+        records = decode_records(answer.body[READ_HEADER.size :], offset)
         next_offset = offset + len(records)
         return RecordPage(
             tuple(records),
             next_offset,
             asked_at,
             reaches_end=next_offset >= end,
+            era=answer.era,
         )
 
     async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
@@ -267,17 +283,17 @@
             has_more = reply.has_more and bool(reply.items)
             if has_more:
                 query['after'] = reply.items[-1].key
-        return RecordPage(tuple(records), end or 0, asked_at)
+        return RecordPage(tuple(records), end or 0, asked_at, era=self.era)
 
     async def newest_page(
         self, topic: str, query: dict[str, str]
     ) -> NewestReply:
         """Reads one page of newest records."""
-        status, body = await self.call('GET', 'log-newest', query)
-        if status != OK_STATUS:
-            raise self.status_error('log-newest', status)
+        answer = await self.call('GET', 'log-newest', query)
+        if answer.status != OK_STATUS:
+            raise self.status_error('log-newest', answer.status)
         try:
-            return msgspec.json.decode(body, type=NewestReply)
+            return msgspec.json.decode(answer.body, type=NewestReply)
         except msgspec.MsgspecError as error:
             raise CodecError(f'{topic}: {error}') from error
 
@@ -290,6 +306,6 @@
         """
         query = {'topic': topic, 'part': '0'}
         body = encode_record(key, value)
-        status, _ = await self.call('POST', 'log-append', query, body)
-        if status != OK_STATUS:
-            raise self.status_error('log-append', status)
+        answer = await self.call('POST', 'log-append', query, body)
+        if answer.status != OK_STATUS:
+            raise self.status_error('log-append', answer.status)
--- a/tests/ingress_support.py
+++ b/tests/ingress_support.py
@@ -12,7 +12,7 @@
 from teaselcove.ingress.acceptance import Arrival
 from teaselcove.ingress.balance import Pick
 from teaselcove.ingress.calls import Call
-from teaselcove.ingress.entities import HostRecord, ServerEntry
+from teaselcove.ingress.entities import HostRecord, Position, ServerEntry
 from teaselcove.ingress.kernel import KernelSettings
 from teaselcove.ingress.settings import IngressSettings
 from teaselcove.kernel import Kernel
@@ -131,13 +131,18 @@
     return ServerEntry(server, 'job', **fields)
 
 
+def at(offset: int, era: int = 0) -> Position:
+    """Returns a place of a record in the store."""
+    return Position(era, offset)
+
+
 def add_servers(kernel: Kernel, count: int, now: float = 0) -> list[str]:
     """Adds servers to the host's list; returns their ids."""
     names = [f's{index}' for index in range(count)]
     discovery = kernel.service('discovery')
     for offset, name in enumerate(names):
         zone = ZONES[offset % len(ZONES)]
-        discovery.update(entry(name, zone), offset, Instant(now))
+        discovery.update(entry(name, zone), at(offset), Instant(now))
     discovery.confirm(Instant(now))
     return names
 
--- a/tests/test_ingress_discovery.py
+++ b/tests/test_ingress_discovery.py
@@ -8,6 +8,7 @@
 from teaselcove.ingress.server_record import Condition
 from tests.ingress_support import (
     add_servers,
+    at,
     entry,
     make_kernel,
     pick,
@@ -23,7 +24,7 @@
         kernel = make_kernel()
         add_servers(kernel, 2)
         discovery = kernel.service('discovery')
-        assert discovery.update(entry('s0', leaving=True), 9, Instant(1))
+        assert discovery.update(entry('s0', leaving=True), at(9), Instant(1))
         usable = discovery.usable('job', Instant(1))
         assert [known.server.id for known in usable] == ['s1']
 
@@ -31,8 +32,8 @@
         """Guards against older records: pages of a read are no snapshot."""
         kernel = make_kernel()
         discovery = kernel.service('discovery')
-        discovery.update(entry('s0', leaving=True), 9, Instant(1))
-        assert not discovery.update(entry('s0'), 4, Instant(2))
+        discovery.update(entry('s0', leaving=True), at(9), Instant(1))
+        assert not discovery.update(entry('s0'), at(4), Instant(2))
         assert not discovery.usable('job', Instant(2))
 
     def test_restarted_server(self) -> None:
@@ -43,7 +44,7 @@
         for _ in range(3):
             record_attempt(kernel, 's0', 1)
         kernel.service('discovery').update(
-            entry('s0', started_ms=2), 9, Instant(2)
+            entry('s0', started_ms=2), at(9), Instant(2)
         )
         assert health.condition('s0') is Condition.HEALTHY
 
@@ -53,10 +54,10 @@
         add_servers(kernel, 2)
         discovery = kernel.service('discovery')
         discovery.store_recovered(Instant(10))
-        discovery.remove('s0', 9, Instant(10.1))
+        discovery.remove('s0', at(9), Instant(10.1))
         assert len(discovery.usable('job', Instant(10.2))) == 2
         assert len(discovery.usable('job', Instant(12.1))) == 1
-        discovery.update(entry('s0'), 12, Instant(11))
+        discovery.update(entry('s0'), at(12), Instant(11))
         assert len(discovery.usable('job', Instant(12.1))) == 2
 
     def test_removed_server(self) -> None:
@@ -64,8 +65,8 @@
         kernel = make_kernel()
         add_servers(kernel, 2)
         discovery = kernel.service('discovery')
-        discovery.remove('s0', 9, Instant(1))
-        discovery.remove_unlisted({'s0'}, end=20)
+        discovery.remove('s0', at(9), Instant(1))
+        discovery.remove_unlisted({'s0'}, end=at(20))
         assert not discovery.usable('job', Instant(1))
 
     def test_kept_server_is_dropped(self) -> None:
@@ -74,12 +75,12 @@
         add_servers(kernel, 2)
         discovery = kernel.service('discovery')
         discovery.store_recovered(Instant(10))
-        discovery.remove('s0', 9, Instant(10.1))
+        discovery.remove('s0', at(9), Instant(10.1))
         discovery.drop_expired(Instant(11))
         assert len(discovery.servers) == 2
         discovery.drop_expired(Instant(12))
         assert set(discovery.servers) == {'s1'}
-        assert not discovery.update(entry('s0'), 8, Instant(13))
+        assert not discovery.update(entry('s0'), at(8), Instant(13))
 
     @pytest.mark.parametrize('unlisted', [False, True])
     def test_older_record_does_not_restore(self, unlisted: bool) -> None:
@@ -91,20 +92,20 @@
         add_servers(kernel, 1)
         discovery = kernel.service('discovery')
         if unlisted:
-            discovery.remove_unlisted(set(), end=10)
+            discovery.remove_unlisted(set(), end=at(10))
         else:
-            discovery.remove('s0', 9, Instant(1))
-        assert not discovery.update(entry('s0'), 8, Instant(2))
+            discovery.remove('s0', at(9), Instant(1))
+        assert not discovery.update(entry('s0'), at(8), Instant(2))
         assert not discovery.usable('job', Instant(2))
-        assert discovery.update(entry('s0', started_ms=2), 12, Instant(3))
+        assert discovery.update(entry('s0', started_ms=2), at(12), Instant(3))
         assert discovery.usable('job', Instant(3))
 
     def test_removal_overtakes_entry(self) -> None:
         """Guards against a server whose removal arrives before its entry."""
         kernel = make_kernel()
         discovery = kernel.service('discovery')
-        assert not discovery.remove('s0', 9, Instant(1))
-        assert not discovery.update(entry('s0'), 8, Instant(2))
+        assert not discovery.remove('s0', at(9), Instant(1))
+        assert not discovery.update(entry('s0'), at(8), Instant(2))
         assert not discovery.usable('job', Instant(2))
 
     def test_removals_are_remembered_in_bounded_memory(self) -> None:
@@ -112,9 +113,11 @@
         kernel = make_kernel()
         discovery = kernel.service('discovery')
         for offset in range(MAX_REMOVALS + 10):
-            discovery.remove(f's{offset}', offset, Instant(1))
+            discovery.remove(f's{offset}', at(offset), Instant(1))
         assert len(discovery.removals) == MAX_REMOVALS
-        assert not discovery.update(entry(f's{offset}'), offset - 1, Instant(2))
+        assert not discovery.update(
+            entry(f's{offset}'), at(offset - 1), Instant(2)
+        )
 
     def test_kept_server_is_not_confirmed_to_others(self) -> None:
         """Guards against confirming the list of a host without the removal.
@@ -127,10 +130,10 @@
             add_servers(host, 2)
         discovery = kernel.service('discovery')
         discovery.store_recovered(Instant(10))
-        discovery.remove('s0', 9, Instant(10.1))
+        discovery.remove('s0', at(9), Instant(10.1))
         assert len(discovery.usable('job', Instant(10.2))) == 2
         assert discovery.digest != other.service('discovery').digest
-        other.service('discovery').remove('s0', 9, Instant(10.2))
+        other.service('discovery').remove('s0', at(9), Instant(10.2))
         assert discovery.digest == other.service('discovery').digest
 
     def test_change_from_another_host_is_logged(
@@ -155,4 +158,4 @@
         add_servers(kernel, 1, now=1)
         chosen = pick(kernel, False, 2.5)
         assert chosen.list_age == pytest.approx(1.5)
-        assert chosen.known.offset == 0
+        assert chosen.known.position == at(0)
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -5,7 +5,7 @@
 import pytest
 
 from teaselcove.errors import HistoryLostError, StoreUnavailableError
-from teaselcove.ids import Instant
+from teaselcove.ids import Era, Instant
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import (
     IngressConfiguration,
@@ -260,7 +260,7 @@
         freshness.failed_at = Instant(5)
         if others_in_contact:
             kernel.service('reading').record_followed(Instant(6))
-        freshness.read_succeeded(Instant(15))
+        freshness.read_succeeded(Era(0), Instant(15))
         discovery = kernel.service('discovery')
         assert discovery.is_recovering(Instant(15.1)) is not others_in_contact
 
--- a/tests/test_ingress_requests.py
+++ b/tests/test_ingress_requests.py
@@ -17,6 +17,7 @@
     accepted,
     add_servers,
     adopt,
+    at,
     configuration,
     entry,
     make_kernel,
@@ -83,8 +84,8 @@
     async def ensure_servers(self) -> None:
         """Replaces the server that has left by another one."""
         discovery = self.kernel.service('discovery')
-        discovery.remove('s0', 8, boot_time())
-        discovery.update(entry('s1'), 9, boot_time())
+        discovery.remove('s0', at(8), boot_time())
+        discovery.update(entry('s1'), at(9), boot_time())
 
 
 async def wait_while_a_server_leaves(
--- a/tests/test_ingress_server_limits.py
+++ b/tests/test_ingress_server_limits.py
@@ -17,6 +17,7 @@
 from tests.ingress_support import (
     ZONES,
     add_servers,
+    at,
     make_kernel,
     most_in_window,
     pick,
@@ -159,7 +160,7 @@
     def test_removed_server(self) -> None:
         """Guards against the limit of an earlier process with the same id."""
         kernel = limited_kernel(1)
-        kernel.service('discovery').remove('s0', 9, Instant(2))
+        kernel.service('discovery').remove('s0', at(9), Instant(2))
         limits = kernel.service('server-limits')
         assert not limits.limited
         limits.record_answer('s0', 1, True, Instant(3))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,7 +6,7 @@
 from teaselcove.errors import CodecError, SettingsError
 from teaselcove.ingress.entities import KeyedRecord
 from teaselcove.platform.boot import decode_boot
-from teaselcove.platform.headers import decode_server_limit
+from teaselcove.platform.headers import decode_server_limit, decode_store_era
 from teaselcove.platform.hosts import decode_host, encode_host
 from teaselcove.platform.records import decode_configuration, decode_server
 from teaselcove.platform.store import (
@@ -179,6 +179,17 @@
         assert decode_server_limit(text) == limit
 
 
+class TestEra:
+    """Decoding of the era of the store."""
+
+    @pytest.mark.parametrize(
+        ('text', 'era'), [(None, None), ('0', 0), ('12', 12), ('x', None)]
+    )
+    def test_decode(self, text: str | None, era: int | None) -> None:
+        """Guards against a wrong era, which makes newer records outdated."""
+        assert decode_store_era(text) == era
+
+
 class TestBoot:
     """Decoding of the platform's settings file."""
 
