Add failing tests of servers in a store that comes back older

Cause: a host orders all records of a server by their offset. In a store that has gone back to a copy, offsets are given out again, so the records of after are taken for old ones.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -158,18 +158,29 @@
 
     def is_leaving(self, name: str) -> bool:
         """Returns whether a backend server is registered as draining."""
+        return DRAINING_STATE in self.newest_entry(name)
+
+    def newest_entry(self, name: str) -> bytes:
+        """Returns the entry of a backend server; empty if there is none."""
         target = f'/log-newest?topic={SERVERS_TOPIC}&part=0'
         try:
             status, _, body = call(self.store, 'GET', target, {})
         except OSError:
-            return False
+            return b''
         if status != OK_STATUS:
-            return False
-        return any(
-            item['key'] == name
-            and DRAINING_STATE in base64.b64decode(item['value'])
+            return b''
+        entries = {
+            item['key']: base64.b64decode(item['value'])
             for item in json.loads(body)['items']
-        )
+        }
+        return entries.get(name, b'')
+
+    def repeat_entry(self, name: str, count: int) -> None:
+        """Writes the entry of a backend server to the store several times."""
+        target = f'/record?topic={SERVERS_TOPIC}&key={name}'
+        entry = self.newest_entry(name)
+        for _ in range(count):
+            call(self.store, 'PUT', target, {}, entry)
 
     def report(self, address: str) -> dict[str, Any]:
         """Returns the report of a stand-in."""
--- a/tests/test_ingress_process.py
+++ b/tests/test_ingress_process.py
@@ -23,6 +23,8 @@
 NETWORK = 100 + 2 * WORKER
 WAIT_S = 15
 POLL_S = 0.05
+# Records that the store loses, far more than servers write in some seconds.
+LOST_RECORDS = 200
 # No rate limit, so that tests do not depend on the speed of the machine.
 KEY = 'key-of-hamlet'
 HAMLET = {'name': 'hamlet', 'apiKeys': [KEY], 'ratePerS': 0, 'burst': 0}
@@ -274,6 +276,30 @@
         assert send(deployment, 'host-0')[0] == 200
 
 
+class TestRestoredStore:
+    """A store that comes back from an older copy."""
+
+    def test_leaving_server(self, deployment: PlatformDeployment) -> None:
+        """Guards against requests to a server that leaves after the loss."""
+        name, address = next(iter(deployment.servers.items()))
+        call(deployment.store, 'POST', '/copy', {})
+        deployment.repeat_entry(name, LOST_RECORDS)
+        # The hosts read the entries within this time.
+        time.sleep(2.5)
+        assert send(deployment, 'host-0')[0] == 200
+        call(deployment.store, 'POST', '/restore', {})
+        deployment.set_fault(address, Fault(leaving=True))
+        try:
+            time.sleep(2.5)
+            before = sum(deployment.report(address)['runs'].values())
+            for _ in range(12):
+                assert send(deployment, 'host-0')[0] == 200
+            after = sum(deployment.report(address)['runs'].values())
+        finally:
+            deployment.set_fault(address, Fault())
+        assert (name, after) == (name, before)
+
+
 class TestStop:
     """Shutdown of a process."""
 
--- a/tests/test_ingress_restored.py
+++ b/tests/test_ingress_restored.py
@@ -1,9 +1,106 @@
 """Tests of a store that comes back from an older copy of itself."""
 
+from typing import Any
+
+import msgspec
 import pytest
 
 from teaselcove.ids import Era, Instant
+from teaselcove.ingress.entities import KeyedRecord, RecordPage
+from teaselcove.ingress.freshness import Freshness
+from teaselcove.kernel import Kernel
 from tests.ingress_support import make_kernel
+from tests.test_ingress_freshness import DiscardingGossip, RefusingStore
+
+BEFORE, AFTER = Era(0), Era(1)
+# The store has gone back from here to a lower end.
+OLD_END = 503
+NEW_END = 300
+# Seconds after which no removal is in doubt any more.
+SETTLED_S = 3
+
+
+def record(
+    server: str, offset: int, sequence: int = 1, **changes: Any
+) -> KeyedRecord:
+    """Returns the entry of a server in the store."""
+    document = {
+        'service': 'job',
+        'address': '127.0.2.1:1',
+        'zone': 'a',
+        'maxConcurrency': 3,
+        'state': 'ready',
+        'sequence': sequence,
+        'born': 1,
+    }
+    document.update(changes)
+    return KeyedRecord(server, msgspec.json.encode(document), offset)
+
+
+def removal(server: str, offset: int) -> KeyedRecord:
+    """Returns the removal of an entry."""
+    return KeyedRecord(server, None, offset)
+
+
+class RestoredHost:
+    """A host that has read the servers s0 and s1; s2 was removed."""
+
+    def __init__(self) -> None:
+        self.kernel: Kernel = make_kernel()
+        self.freshness = Freshness(
+            self.kernel, RefusingStore(), DiscardingGossip()
+        )
+        known = (record('s0', 500), record('s1', 501), record('s2', 499))
+        self.read(BEFORE, OLD_END - 1, *known, complete=True)
+        self.read(BEFORE, OLD_END, removal('s2', 502))
+
+    def read(
+        self,
+        era: Era,
+        end: int,
+        *records: KeyedRecord,
+        complete: bool = False,
+        now: float = 1,
+    ) -> None:
+        """Applies what a read of the servers has returned."""
+        page = RecordPage(records, end, Instant(now), era=era)
+        self.freshness.read_succeeded(era, Instant(now))
+        self.freshness.apply_servers(page, complete, Instant(now))
+
+    def usable(self, now: float) -> list[str]:
+        """Returns the servers that may get new requests."""
+        self.kernel.service('discovery').drop_expired(Instant(now))
+        usable = self.kernel.service('discovery').usable('job', Instant(now))
+        return sorted(known.server.id for known in usable)
+
+
+class TestServers:
+    """Servers that were known before the store went back."""
+
+    def test_unlisted_server_goes(self) -> None:
+        """Guards against a server that the store no longer lists."""
+        host = RestoredHost()
+        host.read(AFTER, NEW_END, record('s0', 20), complete=True, now=10)
+        assert host.usable(10 + SETTLED_S) == ['s0']
+
+    def test_server_registers_again(self) -> None:
+        """Guards against ignoring a server until the old end is reached."""
+        host = RestoredHost()
+        host.read(AFTER, NEW_END + 3, record('s2', 302, sequence=2), now=10)
+        assert host.usable(10) == ['s0', 's1', 's2']
+
+    def test_leaving_server(self) -> None:
+        """Guards against requests to a server that leaves after the loss."""
+        host = RestoredHost()
+        leaving = record('s0', 310, sequence=2, state='draining')
+        host.read(AFTER, NEW_END + 11, leaving, now=10)
+        assert host.usable(10) == ['s1']
+
+    def test_removed_server_goes(self) -> None:
+        """Guards against a server that is removed after the loss."""
+        host = RestoredHost()
+        host.read(AFTER, NEW_END + 12, removal('s1', 311), now=10)
+        assert host.usable(10 + SETTLED_S) == ['s0']
 
 
 class TestEra:
