Order the records of a server by the era of the store and by its statements

Cause: Discovery ordered all records of a server by their offset. A store that comes back from a copy gives offsets out again, so leaving, removed and newly registered servers were taken for outdated ones. Class: an order that is only valid within one life of what issues it.

Change: records are ordered by era and offset. A record of a later era that says nothing newer about its server (start and sequence) is an older copy: a leaving server stays leaving, and a removed one gets no requests until the copy of an entry of a dead server would have expired. Servers that the restored store does not list are kept for 2 s after its return, as after an outage, and then go. An era that another host names counts as well, so an idle host does not take a late read for the return of the store.

New: copies of leaving and removed servers, servers that are missing, late reads and late records.

--- a/soak/planted.py
+++ b/soak/planted.py
@@ -86,9 +86,9 @@
     ),
     Mutation(
         'leaving',
-        'ingress/discovery.py',
-        'return not self.leaving and not expired',
-        'return not expired',
+        'ingress/known_servers.py',
+        'return not (self.leaving or expired or held)',
+        'return not (expired or held)',
     ),
     Mutation(
         'stop',
--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from teaselcove.ids import BackendServerId, Instant, ServiceId
-from teaselcove.ingress.discovery import KnownServer
 from teaselcove.ingress.kernel import ingress_services
+from teaselcove.ingress.known_servers import KnownServer
 from teaselcove.ingress.server_record import Condition
 from teaselcove.kernel import Kernel
 
--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -2,62 +2,31 @@
 
 import zlib
 
-import msgspec
+from msgspec.structs import replace
 
-from teaselcove.entities import Server
 from teaselcove.ids import BackendServerId, HostId, Instant, ServiceId
 from teaselcove.ingress.entities import Position, ServerEntry
 from teaselcove.ingress.kernel import ingress_services
+from teaselcove.ingress.known_servers import (
+    KnownServer,
+    Removals,
+    Statement,
+    is_old_copy,
+)
 from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.kernel import Kernel
 
 # Seconds after the store recovers within which live servers have registered
 # again if their entries expired during the outage.
 REREGISTRATION_S = 2
-# Heartbeat intervals that an outage lasts at least if entries expired in it: an
-# entry expires after three intervals without a heartbeat.
+# Heartbeat intervals without a heartbeat after which an entry expires.
+ENTRY_INTERVALS = 3
+# Heartbeat intervals that an outage lasts at least if entries expired in it.
 OUTAGE_INTERVALS = 2
 # Seconds that a request takes to reach a server, by which hosts stop earlier
 # than the bound for leaving servers requires.
 SEND_MARGIN_S = 0.2
-# Removed servers whose removal is remembered, far more than can leave while a
-# message is delayed.
-MAX_REMOVALS = 2048
-
-
-class KnownServer(msgspec.Struct):
-    """A backend server and the state of its entry in the store.
-
-    Attributes:
-        position: Place of its newest record.
-        warm_at: When its warm-up ends and it is as fast as the others.
-        expires_at: When it counts as removed, if its entry expired during a
-            store outage; None while it has an entry.
-    """
-
-    server: Server
-    service: ServiceId
-    leaving: bool
-    started_ms: int
-    position: Position
-    warm_at: Instant
-    expires_at: Instant | None = None
-
-    @property
-    def compared_fields(self) -> tuple[object, ...]:
-        """The fields compared to detect a change; heartbeat times are not."""
-        return (
-            self.server,
-            self.service,
-            self.leaving,
-            self.started_ms,
-            self.expires_at,
-        )
-
-    def is_usable(self, now: Instant) -> bool:
-        """Returns whether the server may get new requests."""
-        expired = self.expires_at is not None and now >= self.expires_at
-        return not self.leaving and not expired
+NEVER = Instant(float('-inf'))
 
 
 @ingress_services.register('discovery')
@@ -65,8 +34,8 @@
     """Keeps the known servers and selects those that may get new requests.
 
     Attributes:
-        removals: Place of the latest removal by server, oldest first. Records
-            before it are outdated, but may still arrive.
+        removals: Latest removals. Records before them are outdated, but may
+            still arrive.
         confirmed_at: When the latest read that showed this list to be current
             was sent, by this host or another one.
         digest: Checksum of the list, compared between hosts.
@@ -77,7 +46,7 @@
         self.kernel = kernel
         self.servers: dict[BackendServerId, KnownServer] = {}
         self.by_service: dict[ServiceId, list[KnownServer]] = {}
-        self.removals: dict[BackendServerId, Position] = {}
+        self.removals = Removals()
         self.confirmed_at: Instant | None = None
         self.digest = 0
         self.recovered_at: Instant | None = None
@@ -150,16 +119,20 @@
         known = self.servers.get(server_id)
         if self.is_outdated(server_id, position):
             return False
-        if known is not None and known.started_ms != entry.started_ms:
-            self.forget_process(server_id)
         renewed = KnownServer(
             entry.server,
             entry.service,
             entry.leaving,
-            entry.started_ms,
+            Statement(entry.started_ms, entry.sequence),
             position,
             Instant(now + entry.warmup_left),
         )
+        previous = known or self.removals.by_server.get(server_id)
+        if previous is not None and is_old_copy(renewed, previous):
+            renewed = self.without_old_copy(renewed, known, now)
+        started_ms = renewed.statement.started_ms
+        if known is not None and known.statement.started_ms != started_ms:
+            self.forget_process(server_id)
         self.servers[server_id] = renewed
         if (
             known is not None
@@ -177,53 +150,78 @@
             return False
         known = self.servers.get(server_id)
         if known is None:
-            self.record_removal(server_id, position)
+            self.removals.record(server_id, position)
             return False
-        if self.is_recovering(now) and not known.leaving:
-            # The server may be alive: its entry expired during the outage.
-            known.position = position
-            bound = self.kernel.settings.bounds.drain - SEND_MARGIN_S
-            known.expires_at = Instant(
-                min((self.recovered_at or now) + REREGISTRATION_S, now + bound)
-            )
-            self.rebuild_index()
-            return True
-        self.forget(server_id, position)
+        self.take_off(known, position, now)
         self.rebuild_index()
         return True
 
+    def without_old_copy(
+        self, copied: KnownServer, known: KnownServer | None, now: Instant
+    ) -> KnownServer:
+        """Returns what is known of a server whose entry is an older copy.
+
+        The server may have gone since the copy was made. If it is gone, the
+        copy expires; if not, it need not write its entry again.
+
+        Args:
+            copied: What the copy says.
+            known: What was known before, or None if the server was removed.
+            now: Present time.
+        """
+        lifetime = ENTRY_INTERVALS * self.kernel.settings.server_heartbeat
+        restored_at = self.kernel.service('store-era').restored_at or now
+        held_until = Instant(
+            restored_at + lifetime + self.kernel.settings.bounds.drain
+        )
+        if known is None:
+            return replace(copied, held_until=held_until)
+        return replace(
+            known,
+            position=copied.position,
+            leaving=known.leaving or copied.leaving,
+            expires_at=None,
+            held_until=held_until if known.expires_at else known.held_until,
+        )
+
+    def take_off(
+        self, known: KnownServer, position: Position, now: Instant
+    ) -> None:
+        """Drops a server without an entry, at once or if it stays away.
+
+        It may be alive if its entry expired during an outage, or was lost.
+        """
+        if not self.is_recovering(now) or not known.is_usable(now):
+            self.forget(known.server.id, position)
+            return
+        known.position = position
+        bound = self.kernel.settings.bounds.drain - SEND_MARGIN_S
+        known.expires_at = Instant(
+            min(self.returned_at + REREGISTRATION_S, now + bound)
+        )
+
     def is_outdated(
         self, server_id: BackendServerId, position: Position
     ) -> bool:
         """Returns whether a newer record of a server was applied before."""
         known = self.servers.get(server_id)
-        if known is not None and known.position.offset > position.offset:
+        if known is not None and known.position > position:
             return True
-        removal = self.removals.get(server_id)
-        return removal is not None and removal.offset >= position.offset
+        return self.removals.covers(server_id, position)
 
     def forget(self, server_id: BackendServerId, position: Position) -> None:
         """Drops a server whose entry was removed at a position."""
-        self.servers.pop(server_id)
+        known = self.servers.pop(server_id)
         self.forget_process(server_id)
-        self.record_removal(server_id, position)
+        self.removals.record(server_id, position, known.statement)
 
     def forget_process(self, server_id: BackendServerId) -> None:
         """Drops what is known of a process that left or was restarted."""
         self.kernel.service('health').forget(server_id)
         self.kernel.service('server-limits').forget(server_id)
 
-    def record_removal(
-        self, server_id: BackendServerId, position: Position
-    ) -> None:
-        """Remembers a removal, and drops the oldest one if there are many."""
-        self.removals.pop(server_id, None)
-        self.removals[server_id] = position
-        if len(self.removals) > MAX_REMOVALS:
-            self.removals.pop(next(iter(self.removals)))
-
     def remove_unlisted(
-        self, listed: set[BackendServerId], end: Position
+        self, listed: set[BackendServerId], end: Position, now: Instant
     ) -> None:
         """Removes servers that are missing from a complete read of the topic.
 
@@ -231,15 +229,20 @@
             listed: Servers with a record in the read.
             end: End of the topic before the read; servers with newer records
                 are kept.
+            now: Present time.
         """
         removed = [
-            server_id
+            (server_id, known)
             for server_id, known in self.servers.items()
-            if server_id not in listed and known.position.offset < end.offset
+            if server_id not in listed and known.position < end
         ]
-        for server_id in removed:
-            # The removal lies before the end.
-            self.forget(server_id, Position(end.era, end.offset - 1))
+        # The removal lies before the end.
+        position = Position(end.era, end.offset - 1)
+        for server_id, known in removed:
+            if known.position.era < end.era:
+                self.take_off(known, position, now)
+            else:
+                self.forget(server_id, position)
         if removed:
             self.rebuild_index()
 
@@ -255,12 +258,16 @@
         if expired:
             self.rebuild_index()
 
+    @property
+    def returned_at(self) -> Instant:
+        """When the store last came back from an outage or from a copy."""
+        restored_at = self.kernel.service('store-era').restored_at
+        times = (self.recovered_at, restored_at)
+        return max((when for when in times if when is not None), default=NEVER)
+
     def is_recovering(self, now: Instant) -> bool:
-        """Returns whether entries may be missing after a store outage."""
-        return (
-            self.recovered_at is not None
-            and now - self.recovered_at < REREGISTRATION_S
-        )
+        """Returns whether entries may be missing after the store's return."""
+        return now - self.returned_at < REREGISTRATION_S
 
     def rebuild_index(self) -> None:
         """Groups the servers by service and computes the digest.
@@ -269,8 +276,8 @@
         have dropped it have the same list.
         """
         lines = sorted(
-            f'{server_id} {known.service} {known.leaving} {known.started_ms}'
-            f' {known.server.address}'
+            f'{server_id} {known.service} {known.leaving}'
+            f' {known.statement.started_ms} {known.server.address}'
             for server_id, known in self.servers.items()
             if known.expires_at is None
         )
--- a/teaselcove/ingress/entities.py
+++ b/teaselcove/ingress/entities.py
@@ -110,6 +110,7 @@
         warmup_left: Seconds of warm-up left, during which the server is slow.
         started_ms: Unix time of its start in milliseconds, or 0. It
             distinguishes processes that used the same id.
+        sequence: Number of this statement of the server since its start.
     """
 
     server: Server
@@ -117,6 +118,7 @@
     leaving: bool
     warmup_left: float
     started_ms: int
+    sequence: int = 0
 
 
 class HostRecord(msgspec.Struct, frozen=True):
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -385,7 +385,7 @@
         if complete:
             listed = {BackendServerId(item.key) for item in page.records}
             end = Position(page.era, page.next_offset)
-            discovery.remove_unlisted(listed, end)
+            discovery.remove_unlisted(listed, end, now)
         if page.reaches_end:
             discovery.confirm(page.asked_at)
             self.reading.record_contact(page.asked_at)
--- a/teaselcove/platform/records.py
+++ b/teaselcove/platform/records.py
@@ -119,8 +119,7 @@
 class WireServer(msgspec.Struct, rename='camel'):
     """Record of a backend server.
 
-    The fields `version` (software version) and `sequence` (heartbeat number)
-    are ignored.
+    The field `version` (software version) is ignored.
     """
 
     service: str
@@ -129,6 +128,8 @@
     max_concurrency: Positive
     state: str
     warmup_left_ms: NonNegative = 0
+    # Number of the heartbeat since the start.
+    sequence: int = 0
     # Start time in Unix milliseconds.
     born: int = 0
 
@@ -236,4 +237,5 @@
         wire.state == DRAINING,
         wire.warmup_left_ms / MS_PER_S,
         wire.born,
+        wire.sequence,
     )
--- a/tests/test_ingress_discovery.py
+++ b/tests/test_ingress_discovery.py
@@ -3,7 +3,7 @@
 import pytest
 
 from teaselcove.ids import Instant
-from teaselcove.ingress.discovery import MAX_REMOVALS
+from teaselcove.ingress.known_servers import MAX_REMOVALS
 from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.ingress.server_record import Condition
 from tests.ingress_support import (
@@ -66,7 +66,7 @@
         add_servers(kernel, 2)
         discovery = kernel.service('discovery')
         discovery.remove('s0', at(9), Instant(1))
-        discovery.remove_unlisted({'s0'}, end=at(20))
+        discovery.remove_unlisted({'s0'}, at(20), Instant(1))
         assert not discovery.usable('job', Instant(1))
 
     def test_kept_server_is_dropped(self) -> None:
@@ -92,7 +92,7 @@
         add_servers(kernel, 1)
         discovery = kernel.service('discovery')
         if unlisted:
-            discovery.remove_unlisted(set(), end=at(10))
+            discovery.remove_unlisted(set(), at(10), Instant(1))
         else:
             discovery.remove('s0', at(9), Instant(1))
         assert not discovery.update(entry('s0'), at(8), Instant(2))
@@ -114,7 +114,7 @@
         discovery = kernel.service('discovery')
         for offset in range(MAX_REMOVALS + 10):
             discovery.remove(f's{offset}', at(offset), Instant(1))
-        assert len(discovery.removals) == MAX_REMOVALS
+        assert len(discovery.removals.by_server) == MAX_REMOVALS
         assert not discovery.update(
             entry(f's{offset}'), at(offset - 1), Instant(2)
         )
--- a/tests/test_ingress_restored.py
+++ b/tests/test_ingress_restored.py
@@ -8,6 +8,7 @@
 from teaselcove.ids import Era, Instant
 from teaselcove.ingress.entities import KeyedRecord, RecordPage
 from teaselcove.ingress.freshness import Freshness
+from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.kernel import Kernel
 from tests.ingress_support import make_kernel
 from tests.test_ingress_freshness import DiscardingGossip, RefusingStore
@@ -18,6 +19,8 @@
 NEW_END = 300
 # Seconds after which no removal is in doubt any more.
 SETTLED_S = 3
+# Seconds without a heartbeat after which the store drops an entry.
+ENTRY_LIFETIME_S = 4.5
 
 
 def record(
@@ -96,6 +99,55 @@
         host.read(AFTER, NEW_END + 11, leaving, now=10)
         assert host.usable(10) == ['s1']
 
+    def test_copy_of_a_leaving_server(self) -> None:
+        """Guards against a server that is ready again in an older copy."""
+        host = RestoredHost()
+        leaving = record('s0', 503, sequence=2, state='draining')
+        host.read(BEFORE, 504, leaving, now=5)
+        copies = (record('s0', 20), record('s1', 21))
+        host.read(AFTER, NEW_END, *copies, complete=True, now=10)
+        assert host.usable(10) == host.usable(100) == ['s1']
+
+    def test_copy_of_a_removed_server(self) -> None:
+        """Guards against a server that is back without having written.
+
+        If it is alive, it need not write the same entry again, so it is used
+        when the entry of a server that is gone would have expired.
+        """
+        host = RestoredHost()
+        copies = (record('s0', 20), record('s1', 21), record('s2', 22))
+        host.read(AFTER, NEW_END, *copies, complete=True, now=10)
+        assert host.usable(10 + ENTRY_LIFETIME_S) == ['s0', 's1']
+        assert host.usable(20) == ['s0', 's1', 's2']
+
+    def test_missing_server_is_kept_for_a_while(self) -> None:
+        """Guards against dropping servers that started in the lost seconds."""
+        host = RestoredHost()
+        host.read(AFTER, NEW_END, record('s0', 20), complete=True, now=10)
+        assert host.usable(10) == ['s0', 's1']
+        host.read(AFTER, NEW_END + 1, record('s1', 300), now=11)
+        assert host.usable(10 + SETTLED_S) == ['s0', 's1']
+
+    def test_missing_server_after_a_late_read(self) -> None:
+        """Guards against keeping a server long after the store is back.
+
+        A host that reads nothing while it is idle hears of the new era from
+        other hosts.
+        """
+        host = RestoredHost()
+        host.kernel.service('store-era').observe(AFTER, Instant(10), 'host-2')
+        host.read(AFTER, NEW_END, record('s0', 20), complete=True, now=30)
+        assert host.usable(30) == ['s0']
+
+    def test_record_of_an_earlier_era(self) -> None:
+        """Guards against records of before that arrive late."""
+        host = RestoredHost()
+        copies = (record('s0', 20), record('s1', 21))
+        host.read(AFTER, NEW_END, *copies, complete=True, now=10)
+        gone = ServerNews('s1', 505, None, BEFORE)
+        assert not host.kernel.service('discovery').apply(gone, Instant(11))
+        assert host.usable(11) == ['s0', 's1']
+
     def test_removed_server_goes(self) -> None:
         """Guards against a server that is removed after the loss."""
         host = RestoredHost()
