Read a topic in full when the store answers in a new era

Cause: a host keeps its offset. When the store has gone back and new records reach the old offset before the next read, there is no 410; what was written below it is never read, and the read confirms the older state as current.

Change: an offset is valid in one era. An answer of a later era leads to a full read, one of an earlier era is refused as outdated, and pages of two eras are no list. The consumer of a topic has a module of its own.

Tests: TestOffsets; all three fail without the change.

--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -14,7 +14,6 @@
 
 from teaselcove.errors import (
     CodecError,
-    HistoryLostError,
     StoreUnavailableError,
 )
 from teaselcove.ids import BackendServerId, Era, Instant
@@ -28,6 +27,7 @@
 )
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.peer_messages import ServerNews
+from teaselcove.ingress.topic_consumer import TopicConsumer
 from teaselcove.kernel import Kernel
 from teaselcove.platform import records
 from teaselcove.platform.store import StoreClient
@@ -67,48 +67,6 @@
 STORE_DOWN_FAILURES = 2
 
 
-class TopicConsumer:
-    """Reads a keyed topic, first its newest records and then new ones.
-
-    Attributes:
-        offset: Offset of the next read, or None before the first one.
-        asked_at: When the latest successful read was sent, or None.
-    """
-
-    def __init__(self, store: StoreClient, topic: str) -> None:
-        self.store = store
-        self.topic = topic
-        self.offset: int | None = None
-        self.asked_at: Instant | None = None
-
-    async def read(self, wait: float = 0) -> tuple[RecordPage, bool]:
-        """Returns records and whether they are the newest ones of all keys.
-
-        Raises:
-            StoreUnavailableError: If the store did not answer.
-            CodecError: If the answer cannot be decoded.
-        """
-        asked_at = boot_time()
-        if self.offset is not None:
-            try:
-                page = await self.store.read(
-                    self.topic, self.offset, asked_at, wait
-                )
-            except HistoryLostError as error:
-                log.info('history-lost', extra={'figures': {'why': str(error)}})
-                self.offset = None
-            else:
-                # A concurrent read may have reset the offset because of a
-                # lost history.
-                self.offset = max(self.offset or 0, page.next_offset)
-                self.asked_at = asked_at
-                return page, False
-        page = await self.store.newest(self.topic, asked_at)
-        self.offset = page.next_offset
-        self.asked_at = asked_at
-        return page, True
-
-
 class Freshness:
     """Reads the configuration and the servers as often as a host needs.
 
--- a/teaselcove/platform/store.py
+++ b/teaselcove/platform/store.py
@@ -105,6 +105,18 @@
     return LENGTH.pack(len(content)) + content
 
 
+def decode_items(topic: str, reply: NewestReply) -> list[KeyedRecord]:
+    """Decodes the records of a page.
+
+    Raises:
+        CodecError: If a value is not valid base64.
+    """
+    return [
+        KeyedRecord(item.key, decode_value(topic, item), item.offset)
+        for item in reply.items
+    ]
+
+
 def decode_value(topic: str, item: NewestItem) -> bytes | None:
     """Decodes the value of a record; None if its key was deleted.
 
@@ -126,7 +138,7 @@
         idle: Idle connections.
         calls: Number of calls by name since the start.
         failures: Number of failed calls since the start.
-        era: Era of the latest response.
+        era: Latest era of a response.
     """
 
     def __init__(self, address: str) -> None:
@@ -174,9 +186,10 @@
         else:
             connection.close()
         era = names.decode_store_era(answer.header(names.STORE_ERA))
-        if era is not None:
-            self.era = era
-        return StoreAnswer(answer.status, answer.body, self.era)
+        if era is None:
+            era = self.era
+        self.era = max(self.era, era)
+        return StoreAnswer(answer.status, answer.body, era)
 
     async def acquire_connection(self, name: str) -> HttpConnection:
         """Returns an idle connection, or opens a new one.
@@ -267,35 +280,36 @@
         offset of the first page must be read again.
 
         Raises:
-            StoreUnavailableError: If the store did not respond or refused.
+            StoreUnavailableError: If the store did not respond, refused, or was
+                restored from a copy between two pages.
             CodecError: If the response is malformed.
         """
         query = {'topic': topic, 'part': '0'}
-        records: list[KeyedRecord] = []
-        end: int | None = None
-        has_more = True
-        while has_more:
-            reply = await self.newest_page(topic, query)
-            for item in reply.items:
-                content = decode_value(topic, item)
-                records.append(KeyedRecord(item.key, content, item.offset))
-            end = reply.end if end is None else end
-            has_more = reply.has_more and bool(reply.items)
-            if has_more:
-                query['after'] = reply.items[-1].key
-        return RecordPage(tuple(records), end or 0, asked_at, era=self.era)
+        reply, era = await self.newest_page(topic, query)
+        end = reply.end
+        records = decode_items(topic, reply)
+        while reply.has_more and reply.items:
+            query['after'] = reply.items[-1].key
+            reply, page_era = await self.newest_page(topic, query)
+            if page_era != era:
+                raise StoreUnavailableError(
+                    f'{topic}: pages of eras {era} and {page_era}'
+                )
+            records.extend(decode_items(topic, reply))
+        return RecordPage(tuple(records), end, asked_at, era=era)
 
     async def newest_page(
         self, topic: str, query: dict[str, str]
-    ) -> NewestReply:
-        """Reads one page of newest records."""
+    ) -> tuple[NewestReply, Era]:
+        """Reads one page of newest records; returns its era too."""
         answer = await self.call('GET', 'log-newest', query)
         if answer.status != OK_STATUS:
             raise self.status_error('log-newest', answer.status)
         try:
-            return msgspec.json.decode(answer.body, type=NewestReply)
+            reply = msgspec.json.decode(answer.body, type=NewestReply)
         except msgspec.MsgspecError as error:
             raise CodecError(f'{topic}: {error}') from error
+        return reply, answer.era
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Appends a keyed record.
--- a/tests/test_ingress_freshness.py
+++ b/tests/test_ingress_freshness.py
@@ -16,9 +16,9 @@
     PUSH_WAIT_S,
     STORE_DOWN_FAILURES,
     Freshness,
-    TopicConsumer,
 )
 from teaselcove.ingress.peer_messages import ServerNews
+from teaselcove.ingress.topic_consumer import TopicConsumer
 from teaselcove.platform.records import SERVERS_TOPIC
 from tests.ingress_support import add_servers, configuration, make_kernel
 
--- a/tests/test_ingress_restored.py
+++ b/tests/test_ingress_restored.py
@@ -1,15 +1,21 @@
 """Tests of a store that comes back from an older copy of itself."""
 
+import asyncio
 from typing import Any
+from unittest.mock import AsyncMock
 
 import msgspec
 import pytest
 
+from teaselcove.errors import StoreUnavailableError
 from teaselcove.ids import Era, Instant
+from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import KeyedRecord, RecordPage
 from teaselcove.ingress.freshness import Freshness
 from teaselcove.ingress.peer_messages import ServerNews
 from teaselcove.kernel import Kernel
+from teaselcove.platform.records import SERVERS_TOPIC
+from teaselcove.platform.store import NewestItem, NewestReply, StoreClient
 from tests.ingress_support import make_kernel
 from tests.test_ingress_freshness import DiscardingGossip, RefusingStore
 
@@ -77,6 +83,73 @@
         return sorted(known.server.id for known in usable)
 
 
+class OvertakenStore:
+    """A store whose end has passed an old offset again after it went back.
+
+    Attributes:
+        reads: Era in which each read in turn is answered.
+    """
+
+    def __init__(self, *reads: Era) -> None:
+        self.reads = list(reads)
+
+    async def read(
+        self, topic: str, offset: int, asked_at: Instant, wait: float = 0
+    ) -> RecordPage:
+        """Returns the records from the offset on: a heartbeat of s0."""
+        era = self.reads.pop(0)
+        written = (record('s0', offset, sequence=9),)
+        return RecordPage(written, offset + 1, asked_at, era=era)
+
+    async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
+        """Returns the entries of s0, and of s1, which is leaving."""
+        era = self.reads.pop(0)
+        written = (
+            record('s0', OLD_END, sequence=9),
+            record('s1', NEW_END, sequence=9, state='draining'),
+        )
+        return RecordPage(written, OLD_END + 1, asked_at, era=era)
+
+
+class TestOffsets:
+    """Offsets that were valid before the store went back."""
+
+    def test_records_below_the_old_end(self) -> None:
+        """Guards against records that are never read.
+
+        The store has records from the old offset on, so it reports no loss.
+        """
+        host = RestoredHost()
+        consumer = host.freshness.consumers[SERVERS_TOPIC]
+        consumer.offset = OLD_END
+        consumer.era = BEFORE
+        consumer.store = OvertakenStore(AFTER, AFTER)
+        asyncio.run(host.freshness.read_servers())
+        assert host.usable(boot_time()) == ['s0']
+        assert (consumer.offset, consumer.era) == (OLD_END + 1, AFTER)
+
+    def test_late_answer(self) -> None:
+        """Guards against an answer that the store gave before it went back."""
+        host = RestoredHost()
+        consumer = host.freshness.consumers[SERVERS_TOPIC]
+        consumer.offset = OLD_END
+        consumer.era = AFTER
+        consumer.store = OvertakenStore(BEFORE)
+        assert not asyncio.run(host.freshness.read_servers())
+        assert consumer.offset == OLD_END
+
+    def test_pages_of_two_eras(self) -> None:
+        """Guards against a list that was never in the store."""
+        client = StoreClient('127.0.0.1:1')
+        answers = [
+            (NewestReply([NewestItem('a', 1, 'e30=')], True, 9), BEFORE),
+            (NewestReply([NewestItem('b', 2, 'e30=')], False, 5), AFTER),
+        ]
+        client.newest_page = AsyncMock(side_effect=answers)
+        with pytest.raises(StoreUnavailableError, match='eras 0 and 1'):
+            asyncio.run(client.newest('keyed.servers', Instant(0)))
+
+
 class TestServers:
     """Servers that were known before the store went back."""
 
