Do not confirm a version older than one that another host has in force

Cause: a store that was restored from a copy may lack the newest version. It answers with an older one, and a host without the newer one took that for the newest. Hosts know better: heartbeats name the version in force.

Change: a host that has heard of a newer version confirms no older one, so that its keys stop being accepted after the bound, and asks the host that has it (ConfigurationWanted), if its own read does not bring it. The messages about configurations have a module of their own.

Tests: TestConfiguration; the first fails if the check in confirm is taken out.

--- a/teaselcove/ingress/catalog.py
+++ b/teaselcove/ingress/catalog.py
@@ -1,7 +1,13 @@
 """The current configuration: routes, organisations and their keys."""
 
 from teaselcove.errors import Reason
-from teaselcove.ids import Instant, OrganisationId, ServiceId, Version
+from teaselcove.ids import (
+    HostId,
+    Instant,
+    OrganisationId,
+    ServiceId,
+    Version,
+)
 from teaselcove.ingress.entities import (
     IngressConfiguration,
     IngressOrganisation,
@@ -41,6 +47,8 @@
         version: Current version; it never decreases.
         confirmed_at: When the latest read that showed this version to be the
             newest was sent, by this host or another one.
+        newest_heard: Newest version that another host has in force.
+        heard_from: That host, or None.
         current_weights: State of the smooth weighted round robin by route and
             service; it keeps the shares exact over any run of requests.
     """
@@ -50,6 +58,8 @@
         self.configuration: IngressConfiguration | None = None
         self.version = Version(0)
         self.confirmed_at: Instant | None = None
+        self.newest_heard = Version(0)
+        self.heard_from: HostId | None = None
         self.route_tables: dict[str, RouteTable] = {}
         self.organisations_by_key: dict[str, IngressOrganisation] = {}
         self.organisations: dict[OrganisationId, IngressOrganisation] = {}
@@ -88,12 +98,28 @@
     def confirm(self, asked_at: Instant) -> None:
         """Records that the current version was the newest in the store.
 
+        A store that was restored from a copy may lack a version that was
+        acknowledged, and with it a withdrawn key.
+
         Args:
             asked_at: When the read that showed it was sent.
         """
+        if self.is_behind:
+            return
         if self.confirmed_at is None or asked_at > self.confirmed_at:
             self.confirmed_at = asked_at
 
+    def record_version(self, version: Version, host: HostId) -> None:
+        """Records the version that another host has in force."""
+        if version > max(self.version, self.newest_heard):
+            self.newest_heard = version
+            self.heard_from = host
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether another host is known to have a newer version in force."""
+        return self.newest_heard > self.version
+
     def age(self, now: Instant) -> float:
         """Returns the seconds since the version was last confirmed."""
         if self.confirmed_at is None:
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -112,11 +112,20 @@
             self.catching_up = self.spawn(self.catch_up)
 
     async def catch_up(self) -> bool:
-        """Reads the configuration unless the reader sends a newer one first."""
+        """Reads the configuration unless the reader sends a newer one first.
+
+        If the store does not have it, or does not answer this host, the host
+        that has it is asked.
+        """
         catalog = self.kernel.service('catalog')
         before = catalog.version
         await asyncio.sleep(PUSH_WAIT_S)
-        return catalog.version > before or await self.read_configuration()
+        if catalog.version > before:
+            return True
+        answered = await self.read_configuration()
+        if catalog.is_behind:
+            self.gossip.configurations.request()
+        return answered
 
     def announce_read(self) -> None:
         """Sends heartbeats to confirm to the other hosts what was read."""
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -16,6 +16,7 @@
     Instant,
 )
 from teaselcove.ingress.clock import boot_time
+from teaselcove.ingress.configuration_exchange import ConfigurationExchange
 from teaselcove.ingress.entities import (
     HostRecord,
     IngressConfiguration,
@@ -25,6 +26,7 @@
 from teaselcove.ingress.members import HEARTBEAT_INTERVAL_S
 from teaselcove.ingress.peer_messages import (
     ConfigurationNews,
+    ConfigurationWanted,
     Heartbeat,
     LimitNews,
     Report,
@@ -80,6 +82,9 @@
             settings, Incarnation(own.started_ms), self.receive
         )
         self.tokens = TokenExchange(kernel, self.transport.send)
+        self.configurations = ConfigurationExchange(
+            kernel, self.transport.send, self.send_to_relying_hosts
+        )
         self.heartbeats = HeartbeatExchange(
             kernel,
             own,
@@ -92,7 +97,8 @@
             Report: self.handle_report,
             ServerNews: self.handle_server_news,
             LimitNews: self.handle_limit_news,
-            ConfigurationNews: self.handle_configuration_news,
+            ConfigurationNews: self.configurations.handle_news,
+            ConfigurationWanted: self.configurations.handle_wanted,
             TokensWanted: self.tokens.handle_tokens_wanted,
             TokensGiven: self.tokens.handle_tokens_given,
             CrashSuspected: self.handle_suspicion,
@@ -187,25 +193,6 @@
         else:
             self.send_change(LimitNews(changed), now)
 
-    def handle_configuration_news(
-        self, sender: HostId, news: ConfigurationNews, now: Instant
-    ) -> None:
-        """Applies a configuration that another host has read."""
-        catalog = self.kernel.service('catalog')
-        before = catalog.version
-        if catalog.adopt(news.configuration):
-            log.info(
-                'configuration',
-                extra={
-                    'figures': {
-                        'version': catalog.version,
-                        'before': before,
-                        'peer': sender,
-                    }
-                },
-            )
-            self.send_to_relying_hosts(news, now)
-
     def handle_report(
         self, sender: HostId, report: Report, now: Instant
     ) -> None:
--- a/teaselcove/ingress/heartbeat_exchange.py
+++ b/teaselcove/ingress/heartbeat_exchange.py
@@ -145,6 +145,7 @@
         """
         catalog = self.kernel.service('catalog')
         if heartbeat.version > catalog.version:
+            catalog.record_version(heartbeat.version, heartbeat.record.host)
             self.on_newer_version()
         if (
             heartbeat.keys_as_of is not None
--- a/teaselcove/ingress/peer_messages.py
+++ b/teaselcove/ingress/peer_messages.py
@@ -77,6 +77,17 @@
     configuration: IngressConfiguration
 
 
+@message('configuration-wanted')
+class ConfigurationWanted(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for a configuration that the store does not have.
+
+    Attributes:
+        version: The version that the recipient has in force.
+    """
+
+    version: Version
+
+
 @message('server-news')
 class ServerNews(msgspec.Struct, frozen=True, array_like=True):
     """Passes on a changed entry of a backend server.
--- a/tests/test_ingress_restored.py
+++ b/tests/test_ingress_restored.py
@@ -8,15 +8,20 @@
 import pytest
 
 from teaselcove.errors import StoreUnavailableError
-from teaselcove.ids import Era, Instant
+from teaselcove.ids import Era, Instant, Version
 from teaselcove.ingress.clock import boot_time
+from teaselcove.ingress.configuration_exchange import ConfigurationExchange
 from teaselcove.ingress.entities import KeyedRecord, RecordPage
 from teaselcove.ingress.freshness import Freshness
-from teaselcove.ingress.peer_messages import ServerNews
+from teaselcove.ingress.peer_messages import (
+    ConfigurationNews,
+    ConfigurationWanted,
+    ServerNews,
+)
 from teaselcove.kernel import Kernel
-from teaselcove.platform.records import SERVERS_TOPIC
+from teaselcove.platform.records import SERVERS_TOPIC, decode_configuration
 from teaselcove.platform.store import NewestItem, NewestReply, StoreClient
-from tests.ingress_support import make_kernel
+from tests.ingress_support import configuration, make_kernel
 from tests.test_ingress_freshness import DiscardingGossip, RefusingStore
 
 BEFORE, AFTER = Era(0), Era(1)
@@ -150,6 +155,64 @@
             asyncio.run(client.newest('keyed.servers', Instant(0)))
 
 
+class LostVersionStore:
+    """A restored store that has only the first of two versions."""
+
+    async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
+        """Returns the first version."""
+        first = KeyedRecord('config', configuration(1), 0)
+        return RecordPage((first,), 1, asked_at, era=AFTER)
+
+
+class CountedRequests:
+    """Counts the requests for a configuration."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def request(self) -> None:
+        """Counts a request."""
+        self.count += 1
+
+
+class VersionGossip(DiscardingGossip):
+    """Sends nothing but requests for a configuration."""
+
+    def __init__(self) -> None:
+        self.configurations = CountedRequests()
+
+
+class TestConfiguration:
+    """A version that was in force before the store went back."""
+
+    def test_older_version_is_not_confirmed(self) -> None:
+        """Guards against keys that a lost version has withdrawn."""
+        kernel = make_kernel()
+        gossip = VersionGossip()
+        freshness = Freshness(kernel, LostVersionStore(), gossip)
+        catalog = kernel.service('catalog')
+        catalog.record_version(Version(2), 'host-2')
+        asyncio.run(freshness.catch_up())
+        assert (catalog.version, gossip.configurations.count) == (1, 1)
+        assert not catalog.are_keys_current(boot_time())
+        catalog.adopt(decode_configuration(configuration(2)))
+        catalog.confirm(boot_time())
+        assert catalog.are_keys_current(boot_time())
+
+    def test_host_that_has_it_is_asked(self) -> None:
+        """Guards against a host that stays behind until the next change."""
+        answers: list[tuple[str, object]] = []
+        catalog = make_kernel('host-2').service('catalog')
+        catalog.adopt(decode_configuration(configuration(2)))
+        exchange = ConfigurationExchange(
+            catalog.kernel, lambda *sent: answers.append(sent), print
+        )
+        for version in (Version(2), Version(3)):
+            wanted = ConfigurationWanted(version)
+            exchange.handle_wanted('host-1', wanted, Instant(1))
+        assert answers == [('host-1', ConfigurationNews(catalog.configuration))]
+
+
 class TestServers:
     """Servers that were known before the store went back."""
 
