Register the hosts again in a store that was restored from a copy

Cause: what the fleet writes to the store was written once, at the start of a host, and taken to last.

The records of hosts have a module of their own.

Test: test_hosts_register_again fails without the change.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -13,6 +13,7 @@
 
 from standins.processes import Processes, free_port, wait_until_listening
 from teaselcove.platform.boot import SETTINGS_VARIABLE
+from teaselcove.platform.hosts import TOPIC as HOSTS_TOPIC
 from teaselcove.platform.records import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
@@ -175,6 +176,20 @@
         }
         return entries.get(name, b'')
 
+    def registered_hosts(self) -> set[str]:
+        """Returns the hosts with a record in the store."""
+        target = f'/log-newest?topic={HOSTS_TOPIC}&part=0'
+        _, _, body = call(self.store, 'GET', target, {})
+        return {item['key'] for item in json.loads(body)['items']}
+
+    def forget_hosts(self) -> None:
+        """Lets the store come back from a copy without the hosts' records."""
+        for name in self.names:
+            target = f'/record?topic={HOSTS_TOPIC}&key={name}'
+            call(self.store, 'PUT', target, {}, b'')
+        call(self.store, 'POST', '/copy', {})
+        call(self.store, 'POST', '/restore', {})
+
     def repeat_entry(self, name: str, count: int) -> None:
         """Writes the entry of a backend server to the store several times."""
         target = f'/record?topic={SERVERS_TOPIC}&key={name}'
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -19,6 +19,7 @@
 from teaselcove.ingress.kernel import kernel_settings
 from teaselcove.ingress.log_lines import StructuredLog
 from teaselcove.ingress.readout import RequestMetrics
+from teaselcove.ingress.registration import Registration
 from teaselcove.ingress.requests import Requests
 from teaselcove.ingress.server import (
     BodyMemory,
@@ -27,7 +28,6 @@
 )
 from teaselcove.ingress.settings import IngressSettings, load_settings
 from teaselcove.platform import boot as platform_boot
-from teaselcove.platform import hosts
 from teaselcove.platform.store import StoreClient
 from teaselcove.settings import HostSettings
 
@@ -50,7 +50,6 @@
 HOUSEKEEPING_INTERVAL_S = 1
 # Seconds to wait for other hosts that start at the same time to register.
 REGISTER_PAUSE_S = 0.25
-STORE_RETRY_S = 0.3
 # Body limit until a configuration is loaded.
 MAX_BODY_BYTES = 1024 * 1024
 # Seconds to write the remaining log lines when the process stops.
@@ -172,6 +171,12 @@
         self.handle_signals()
         self.service('members').start(self.own_record, boot_time())
         self.store = StoreClient(self.boot.store_address)
+        self.registration = Registration(
+            self.kernel, self.store, self.own_record
+        )
+        self.service('store-era').on_restored = lambda: self.spawn(
+            self.registration.register_again()
+        )
         self.freshness = Freshness(self.kernel, self.store, self.gossip)
         self.requests = Requests(
             self.kernel, self.pool, self.freshness, self.gossip
@@ -233,40 +238,12 @@
 
     async def join_fleet(self) -> None:
         """Registers the host, loads the other hosts, then starts gossip."""
-        record = hosts.encode_host(self.own_record)
-        await self.retry_store_call(
-            lambda: self.store.put(hosts.TOPIC, self.own_record.host, record)
-        )
+        await self.registration.register()
         await asyncio.sleep(REGISTER_PAUSE_S)
-        page = await self.retry_store_call(
-            lambda: self.store.newest(hosts.TOPIC, boot_time())
-        )
-        fleet = self.service('members')
-        for item in page.records:
-            try:
-                fleet.add_host(hosts.decode_host(item))
-            except errors.CodecError as error:
-                log.warning(
-                    'host-unreadable', extra={'figures': {'why': str(error)}}
-                )
+        await self.registration.load_hosts()
         self.gossip.update_addresses()
         await self.gossip.run()
 
-    async def retry_store_call(self, call: Any) -> Any:
-        """Calls the store until the call succeeds."""
-        while True:
-            try:
-                return await call()
-            except (
-                errors.StoreUnavailableError,
-                errors.AppendUnknownError,
-                errors.CodecError,
-            ) as error:
-                log.warning(
-                    'store-call-failed', extra={'figures': {'why': str(error)}}
-                )
-                await asyncio.sleep(STORE_RETRY_S)
-
     async def run_housekeeping(self) -> None:
         """Closes idle connections and reloads settings when they change."""
         modified_ns = platform_boot.settings_modified_ns()
--- a/teaselcove/ingress/store_era.py
+++ b/teaselcove/ingress/store_era.py
@@ -4,6 +4,8 @@
 the next one the last records are gone, and their offsets are given out again.
 """
 
+from collections.abc import Callable
+
 from teaselcove.ids import Era, HostId, Instant
 from teaselcove.ingress.kernel import ingress_services
 from teaselcove.kernel import Kernel
@@ -17,12 +19,14 @@
         current: The latest era, or None before the first answer of the store.
         restored_at: When this host first heard of it, or None if it was the
             era at the start of the host.
+        on_restored: Called when the store was restored.
     """
 
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.current: Era | None = None
         self.restored_at: Instant | None = None
+        self.on_restored: Callable[[], None] = lambda: None
 
     def observe(
         self, era: Era, now: Instant, peer: HostId | None = None
@@ -45,4 +49,5 @@
         self.kernel.decide(
             'store-restored', before=before, after=era, peer=peer
         )
+        self.on_restored()
         return True
--- a/tests/test_ingress_process.py
+++ b/tests/test_ingress_process.py
@@ -279,6 +279,12 @@
 class TestRestoredStore:
     """A store that comes back from an older copy."""
 
+    def test_hosts_register_again(self, deployment: PlatformDeployment) -> None:
+        """Guards against hosts that later ones do not find."""
+        assert deployment.registered_hosts() == set(deployment.names)
+        deployment.forget_hosts()
+        wait_for(lambda: deployment.registered_hosts() == set(deployment.names))
+
     def test_leaving_server(self, deployment: PlatformDeployment) -> None:
         """Guards against requests to a server that leaves after the loss."""
         name, address = next(iter(deployment.servers.items()))
