Tell a refusal that a server repeats from the refusal of the request

Cause: an operator's report of a faulty server that writes an earlier refusal once more on a kept connection. Most copies have the id of another request and are dropped. Two were believed: a copy without an id, and a copy of the refusal of an earlier attempt of the same request, which has its id. A request may go to the same server again when no other one has a free slot.

Change: on a connection that was used before, a refusal without an id says nothing about whether the request has run; such a connection is closed, since the response may still come. A request does not use a connection again on which it was refused.

Tests: TestRepeatedRefusals. With the set of connections taken out test_of_the_same_request fails, without the check of the id test_without_an_id, without the comparison of ids the other two.

--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -32,6 +32,8 @@
 STALE_REPEAT_S = 2
 MISDIRECTED_STATUS = 421
 KEEP_ALIVE = 'keep-alive'
+# Results by which a server states that it has not run a request.
+REFUSED = frozenset((AttemptResult.SHED, AttemptResult.MISDIRECTED))
 
 
 class AttemptEnd(msgspec.Struct):
@@ -89,17 +91,32 @@
         self.connections_opened = 0
 
     def acquire(
-        self, server: BackendServerId, idempotent: bool
+        self,
+        server: BackendServerId,
+        idempotent: bool,
+        refused_on: set[HttpConnection],
     ) -> HttpConnection | None:
-        """Returns the most recently used idle connection, or None."""
+        """Returns the most recently used idle connection, or None.
+
+        Args:
+            server: The server.
+            idempotent: Whether the request may run more than once.
+            refused_on: Connections on which it was refused before.
+        """
         connections = self.idle[server]
         now = boot_time()
-        while connections:
+        unusable: list[HttpConnection] = []
+        found: HttpConnection | None = None
+        while connections and found is None:
             connection = connections.pop()
-            if self.is_fresh(connection, idempotent, now):
-                return connection
-            connection.close()
-        return None
+            if connection in refused_on:
+                unusable.append(connection)
+            elif self.is_fresh(connection, idempotent, now):
+                found = connection
+            else:
+                connection.close()
+        connections.extend(reversed(unusable))
+        return found
 
     def is_fresh(
         self, connection: HttpConnection, idempotent: bool, now: Instant
@@ -182,12 +199,18 @@
 
 
 class OutgoingRequest(msgspec.Struct, frozen=True):
-    """A caller's request with the data that the host adds to it."""
+    """A caller's request with the data that the host adds to it.
+
+    Attributes:
+        refused_on: Connections on which a server has refused the request. It
+            may send that refusal once more, as if for a later attempt.
+    """
 
     request: CallerRequest
     attempt_id: str
     organisation: OrganisationId | None
     idempotent: bool
+    refused_on: set[HttpConnection] = set()
 
 
 def encode_request(
@@ -218,16 +241,19 @@
     return None
 
 
-def classify(answer: RawAnswer, attempt_id: str) -> AttemptResult:
+def classify(answer: RawAnswer, attempt_id: str, reused: bool) -> AttemptResult:
     """Returns the result of an attempt that got a response.
 
-    A request counts as not run only if the server states so.
+    A request counts as not run only if the server states so, in a response
+    that cannot belong to an earlier request on the connection.
     """
-    if answer.status == MISDIRECTED_STATUS:
-        return AttemptResult.MISDIRECTED
-    if answer.header(names.NOT_EXECUTED) is not None:
-        return AttemptResult.SHED
-    if attempt_id and answer.header(names.ATTEMPT_ID) is None:
+    has_id = answer.header(names.ATTEMPT_ID) is not None
+    misdirected = answer.status == MISDIRECTED_STATUS
+    if misdirected or answer.header(names.NOT_EXECUTED) is not None:
+        if reused and not has_id:
+            return AttemptResult.MISMATCHED
+        return AttemptResult.MISDIRECTED if misdirected else AttemptResult.SHED
+    if attempt_id and not has_id:
         return AttemptResult.MISMATCHED
     if answer.status < 500 and answer.header(names.SIGNATURE) is None:
         return AttemptResult.MISMATCHED
@@ -249,7 +275,9 @@
         time_left: Seconds until the caller's deadline.
     """
     started = boot_time()
-    connection = pool.acquire(server.id, outgoing.idempotent)
+    connection = pool.acquire(
+        server.id, outgoing.idempotent, outgoing.refused_on
+    )
     if connection is None:
         try:
             connection = await pool.open(server)
@@ -283,7 +311,11 @@
     connection.idle_limit = (
         announced_idle_limit(answer) or connection.idle_limit
     )
+    result = classify(answer, outgoing.attempt_id, reused)
+    if result is AttemptResult.MISMATCHED:
+        # The response to this request may still come.
+        connection.close()
+    elif result in REFUSED:
+        outgoing.refused_on.add(connection)
     pool.release(server.id, connection)
-    elapsed = boot_time() - started
-    result = classify(answer, outgoing.attempt_id)
-    return AttemptEnd(result, answer, elapsed)
+    return AttemptEnd(result, answer, boot_time() - started)
--- a/teaselcove/ingress/calls.py
+++ b/teaselcove/ingress/calls.py
@@ -6,7 +6,7 @@
 
 from teaselcove.errors import Outcome, Reason, Refusal, not_run
 from teaselcove.events import AttemptResult
-from teaselcove.http_connection import RawAnswer
+from teaselcove.http_connection import HttpConnection, RawAnswer
 from teaselcove.http_fields import CallerRequest
 from teaselcove.ids import BackendServerId, Instant, ServiceId
 from teaselcove.ingress.entities import IngressOrganisation, IngressRoute
@@ -52,6 +52,7 @@
         sent: Servers that may have run the request.
         not_run: Number of attempts that provably did not run.
         exclude: Servers that have failed the request.
+        refused_on: Connections on which a server has refused it.
         retries: Number of retries and hedges, with any result.
         waited: Seconds spent waiting for slots.
         answer: The latest answer of a server, which the caller gets if no
@@ -70,6 +71,7 @@
     sent: list[BackendServerId] = []
     not_run: int = 0
     exclude: frozenset[BackendServerId] = frozenset()
+    refused_on: set[HttpConnection] = set()
     retries: int = 0
     waited: float = 0
     answer: RawAnswer | None = None
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -265,6 +265,7 @@
             call.attempt_id,
             call.organisation.id if call.organisation else None,
             call.route.idempotent,
+            call.refused_on,
         )
         return await run_attempt(
             self.pool, server, outgoing, call.time_left(now)
--- a/tests/test_ingress_connection.py
+++ b/tests/test_ingress_connection.py
@@ -3,13 +3,16 @@
 import asyncio
 import socket
 import struct
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import Any
 
 import pytest
 
 from teaselcove.entities import Server
 from teaselcove.events import AttemptResult
+from teaselcove.http_connection import HttpConnection
 from teaselcove.http_fields import CallerRequest
 from teaselcove.ingress.backend import (
     MIN_STALE_IDLE_S,
@@ -36,16 +39,22 @@
 )
 UNFRAMED_ANSWER = encode_answer(b'200', *SIGNED, body=b'ok')
 LATE_ANSWER = COMPLETE_ANSWER.replace(b'a1', b'a0')
+REFUSAL = encode_answer(
+    b'503', b'Attempt-Id: a1', b'Not-Executed: 1', b'Content-Length: 0'
+)
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 def outgoing(
-    attempt_id: str = 'a1', body: bytes = b'', method: str = 'GET'
+    attempt_id: str = 'a1',
+    body: bytes = b'',
+    method: str = 'GET',
+    **fields: Any,
 ) -> OutgoingRequest:
     """Returns a request to a backend server."""
     headers = (('host', 'jobs.example'), ('attempt-id', attempt_id))
     request = CallerRequest(method, '/read/1?x=', headers, body)
-    return OutgoingRequest(request, attempt_id, 'village', idempotent=True)
+    return OutgoingRequest(request, attempt_id, 'village', True, **fields)
 
 
 async def read_head(reader: asyncio.StreamReader) -> bytes:
@@ -73,6 +82,24 @@
         writer.close()
 
 
+class FirstConnection:
+    """A server with a script for its first connection.
+
+    It answers the requests on any other connection as complete.
+    """
+
+    def __init__(self, *answers: bytes) -> None:
+        self.scripted: AnsweringServer | None = AnsweringServer(*answers)
+
+    async def __call__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves a connection."""
+        script = self.scripted or AnsweringServer(COMPLETE_ANSWER)
+        self.scripted = None
+        await script(reader, writer)
+
+
 class ResettingServer:
     """A server that sends some bytes and then resets the connection."""
 
@@ -297,6 +324,51 @@
         assert end.result is AttemptResult.NOT_SENT
 
 
+class TestRepeatedRefusals:
+    """Refusals that a server sends once more on a connection that is kept."""
+
+    def send(self, *answers: bytes, ids: tuple[str, ...]) -> list[AttemptEnd]:
+        """Sends requests, refused ones included, over one connection."""
+        refused: defaultdict[str, set[HttpConnection]] = defaultdict(set)
+        requests = (outgoing(name, refused_on=refused[name]) for name in ids)
+        script = FirstConnection(*answers)
+        return run_requests(script, *requests)
+
+    def test_before_the_own_answer(self) -> None:
+        """Guards against a false not-run for a request that runs."""
+        own = COMPLETE_ANSWER.replace(b'a1', b'a2')
+        ends = self.send(REFUSAL, REFUSAL + own, ids=('a1', 'a2'))
+        results = [end.result for end in ends]
+        assert results == [AttemptResult.SHED, AttemptResult.COMPLETE]
+
+    def test_without_the_own_answer(self) -> None:
+        """Guards against a false not-run for a request that may run."""
+        ends = self.send(REFUSAL, REFUSAL, ids=('a1', 'a2'))
+        results = [end.result for end in ends]
+        assert results == [AttemptResult.SHED, AttemptResult.TIMED_OUT]
+
+    def test_of_the_same_request(self) -> None:
+        """Guards against the refusal of an earlier attempt of a request.
+
+        It has the id of the request, so a second attempt must not wait for its
+        answer on that connection.
+        """
+        ends = self.send(REFUSAL, REFUSAL, ids=('a1', 'a1'))
+        results = [end.result for end in ends]
+        assert results == [AttemptResult.SHED, AttemptResult.COMPLETE]
+
+    @pytest.mark.parametrize('status', [b'503', b'421'])
+    def test_without_an_id(self, status: bytes) -> None:
+        """Guards against a refusal that may belong to another request."""
+        refusal = encode_answer(
+            status, b'Not-Executed: 1', b'Content-Length: 0'
+        )
+        own = COMPLETE_ANSWER
+        ends = self.send(own, refusal, ids=('a1', 'a2'))
+        results = [end.result for end in ends]
+        assert results == [AttemptResult.COMPLETE, AttemptResult.MISMATCHED]
+
+
 class TestRequests:
     """Requests to servers and reuse of connections."""
 
