Send no request to a server that a planned stop would cut off

Cause: a stopping host accepts for half of its grace period and exits at nine tenths. A request that waits for a slot, or is sent a second time, may wait for half of the caller's time, up to 5 s, so it can be sent just before the exit. One that still waits then is closed without an answer, though it has not run.

Change: while a host stops, a request starts only if twice the median service time is left before the exit. One that waits is refused as not run as soon as that time is reached, also when it has a slot already. Queueing takes the same bound for how long a request may wait.

--- a/soak/planted.py
+++ b/soak/planted.py
@@ -93,8 +93,8 @@
     Mutation(
         'stop',
         'ingress/daemon.py',
-        'while self.callers.is_busy and boot_time() < end_at:',
-        'while self.callers.is_busy and boot_time() > end_at:',
+        'while self.callers.is_busy and boot_time() < self.exit_at:',
+        'while self.callers.is_busy and boot_time() > self.exit_at:',
     ),
 )
 
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from teaselcove import errors
-from teaselcove.ids import ZoneName
+from teaselcove.ids import Instant, ZoneName
 from teaselcove.ingress import listener, members, services
 from teaselcove.ingress.backend import BackendPool
 from teaselcove.ingress.clock import boot_time
@@ -61,6 +61,7 @@
 
     Attributes:
         draining: Whether a stop was requested.
+        exit_at: When the process exits at the latest after a stop request.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
             self.kernel, self.own_record, transport_settings(boot)
         )
         self.draining = False
+        self.exit_at = Instant(float('inf'))
         self.stopping = asyncio.Event()
         self.tasks: set[asyncio.Task[Any]] = set()
 
@@ -272,18 +274,18 @@
             return
         log.info('drain', extra={'figures': {'host': self.boot.host}})
         self.draining = True
+        grace = self.boot.bounds.grace
+        self.exit_at = Instant(boot_time() + grace * EXIT_GRACE_SHARE)
+        self.service('stopping').exit_at = self.exit_at
         self.service('members').leaving = True
         self.gossip.heartbeats.send_heartbeats(boot_time())
         loop = asyncio.get_running_loop()
-        grace = self.boot.bounds.grace
         loop.call_later(grace * ACCEPT_GRACE_SHARE, self.stopping.set)
 
     async def finish_requests(self) -> None:
         """Waits for requests in flight, then closes everything."""
         self.callers.stop()
-        grace = self.boot.bounds.grace
-        end_at = boot_time() + grace * (EXIT_GRACE_SHARE - ACCEPT_GRACE_SHARE)
-        while self.callers.is_busy and boot_time() < end_at:
+        while self.callers.is_busy and boot_time() < self.exit_at:
             await asyncio.sleep(0.05)
         for opened in self.listeners:
             opened.stop()
--- a/teaselcove/ingress/queueing.py
+++ b/teaselcove/ingress/queueing.py
@@ -125,7 +125,8 @@
             )
             in_target = limits.target_left - SERVICE_FACTOR * median_latency
             wait = min(wait, max(MIN_WAIT_S, in_target))
-        return Instant(now + wait)
+        latest = self.kernel.service('stopping').latest_start(service)
+        return min(Instant(now + wait), latest)
 
     def enqueue(
         self,
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -32,7 +32,7 @@
 from teaselcove.ingress.freshness import Freshness
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.health import RunningAttempt
-from teaselcove.ingress.slots import Slots
+from teaselcove.ingress.slots import Slots, stop_refusal
 from teaselcove.kernel import Kernel
 
 log = logging.getLogger('teaselcove.requests')
@@ -186,9 +186,14 @@
         """Waits for a slot, then checks that the key is still valid.
 
         Raises:
-            RefusedError: If there is no slot in time or the key was withdrawn.
+            RefusedError: If there is no slot in time, the key was withdrawn or
+                the host stops too soon.
         """
         pick = await self.acquire_listed(call)
+        stopping = self.service('stopping')
+        if not stopping.allows_start(call.service, boot_time()):
+            self.slots.release(pick)
+            raise stop_refusal()
         withdrawn = self.service('acceptance').recheck_key(call)
         if withdrawn is not None:
             self.slots.release(pick)
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -20,6 +20,7 @@
     'reading',
     'retry_window',
     'server_limits',
+    'stopping',
     'store_era',
     'vouching',
 )
--- a/teaselcove/ingress/slots.py
+++ b/teaselcove/ingress/slots.py
@@ -13,9 +13,17 @@
 # Seconds between polls of the queues: a server can become usable just by time
 # passing.
 POLL_INTERVAL_S = 0.05
+# Retry-After in seconds of requests that a host no longer starts as it stops.
+# The other hosts serve at once.
+STOP_RETRY_AFTER_S = 0.05
 MS_PER_S = 1000
 
 
+def stop_refusal() -> RefusedError:
+    """Returns the refusal of a request that another host has time for."""
+    return RefusedError(not_run(Reason.DRAINING, STOP_RETRY_AFTER_S))
+
+
 class Slots:
     """Assigns free slots in the order of the queue."""
 
@@ -32,6 +40,8 @@
             RefusedError: If the request cannot be served in time.
         """
         now = boot_time()
+        if not self.kernel.service('stopping').allows_start(call.service, now):
+            raise stop_refusal()
         queueing = self.kernel.service('queueing')
         if queueing.is_empty(call.service):
             pick = self.pick(call, now)
@@ -79,7 +89,7 @@
             async with asyncio.timeout(waiting.start_by - waiting.since):
                 return await asyncio.shield(future)
         except (TimeoutError, asyncio.CancelledError) as error:
-            if future.done():
+            if future.done() and future.exception() is None:
                 self.release(future.result())
             if isinstance(error, asyncio.CancelledError):
                 raise
@@ -140,6 +150,14 @@
             queueing.remove(waiting)
             future.set_result(pick)
 
+    def refuse_late(self, now: Instant) -> None:
+        """Refuses waiting requests that a stop leaves no time for."""
+        stopping = self.kernel.service('stopping')
+        for waiting, call in self.calls.items():
+            future = self.futures[waiting]
+            if not (future.done() or stopping.allows_start(call.service, now)):
+                future.set_exception(stop_refusal())
+
     def start_timer(self) -> None:
         """Schedules the next poll of the queues."""
         if self.timer is None:
@@ -149,6 +167,7 @@
     def poll_queues(self) -> None:
         """Assigns free slots in all queues."""
         self.timer = None
+        self.refuse_late(boot_time())
         services = {call.service for call in self.calls.values()}
         for service in services:
             self.assign_free_slots(service)
--- a/tests/test_ingress_connection.py
+++ b/tests/test_ingress_connection.py
@@ -253,7 +253,7 @@
     )
     def test_head_breaks_off(self, head: bytes, reset: bool) -> None:
         """Guards against an empty or short body that looks complete."""
-        for cut in range(len(head)):
+        for cut, _ in enumerate(head):
             part = head[:cut]
             script = AnsweringServer(part, close=True)
             end = run_request(ResettingServer(part) if reset else script)
--- a/tests/test_ingress_requests.py
+++ b/tests/test_ingress_requests.py
@@ -1,10 +1,12 @@
 """Tests of queued requests and of cancelled attempts."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import pytest
 
-from teaselcove.errors import Reason, Refusal
+from teaselcove.errors import Outcome, Reason, Refusal
 from teaselcove.ids import Instant
 from teaselcove.ingress import requests as requests_module
 from teaselcove.ingress.backend import BackendPool
@@ -24,6 +26,8 @@
 )
 
 IP = '127.0.0.1'
+# Attempts that fill the slots of a server and the place in its queue, but one.
+SLOTS_TAKEN = 3
 
 
 async def cancel_at_once(kernel: Kernel, requests: Requests) -> None:
@@ -37,14 +41,19 @@
     await asyncio.sleep(0)
 
 
+def fill_slots(kernel: Kernel) -> None:
+    """Takes all slots of the only server."""
+    balance = kernel.service('balance')
+    while balance.pick('job', False, frozenset(), boot_time()):
+        balance.started('s0')
+
+
 async def queue_request(
     kernel: Kernel, requests: Requests
 ) -> asyncio.Task[Pick]:
     """Lets a request wait for the only server, which has no free slot."""
     call = accepted(kernel, '/write/1', boot_time())
-    balance = kernel.service('balance')
-    while balance.pick('job', False, frozenset(), boot_time()):
-        balance.started('s0')
+    fill_slots(kernel)
     placing = asyncio.get_running_loop().create_task(
         requests.acquire_slot(call)
     )
@@ -209,3 +218,87 @@
         )
         asyncio.run(cancel_while_servers_are_read(kernel, requests))
         assert kernel.service('balance').in_flight == {}
+
+
+async def stop_while_waiting(kernel: Kernel, requests: Requests) -> Refusal:
+    """Stops the host while a request waits; returns its refusal."""
+    placing = await queue_request(kernel, requests)
+    kernel.service('stopping').exit_at = boot_time()
+    with pytest.raises(RefusedError) as caught:
+        await placing
+    return caught.value.refusal
+
+
+async def arrive_late(kernel: Kernel, requests: Requests) -> Refusal:
+    """Sends a request at the end of a stop; returns its refusal."""
+    fill_slots(kernel)
+    kernel.service('stopping').exit_at = boot_time()
+    with pytest.raises(RefusedError) as caught:
+        await requests.acquire_slot(accepted(kernel, '/write/1', boot_time()))
+    return caught.value.refusal
+
+
+async def list_read_ends_late(kernel: Kernel, requests: Requests) -> Refusal:
+    """Lets the time end while a request with a slot waits for the list."""
+    placing = await queue_request(kernel, requests)
+    kernel.service('balance').finished('s0')
+    with pytest.raises(RefusedError) as caught:
+        await placing
+    return caught.value.refusal
+
+
+class StoppedMeanwhile(CurrentList):
+    """A list of servers that is current when the host has no time left."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    async def ensure_servers(self) -> None:
+        """Ends the time of the host."""
+        self.kernel.service('stopping').exit_at = boot_time()
+
+
+class TestStop:
+    """Requests for which a planned stop leaves no time."""
+
+    def requests(self) -> Requests:
+        """Returns the requests of a host with one server."""
+        kernel = make_kernel()
+        adopt(kernel, configuration(), boot_time())
+        add_servers(kernel, 1, boot_time())
+        pool = BackendPool(IP, max_answer_bytes=1000)
+        return Requests(kernel, pool, CurrentList(), None)
+
+    @pytest.mark.parametrize('play', [stop_while_waiting, arrive_late])
+    def test_not_sent(
+        self,
+        play: Callable[[Kernel, Requests], Coroutine[Any, Any, Refusal]],
+    ) -> None:
+        """Guards against requests that are sent and cut off at the exit."""
+        requests = self.requests()
+        refusal = asyncio.run(play(requests.kernel, requests))
+        assert refusal.reason is Reason.DRAINING
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert not requests.kernel.service('queueing').in_order('job')
+
+    def test_time_ends_with_a_slot(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a check that is old when the request is sent."""
+        monkeypatch.setattr(requests_module, 'LIST_CHECK_S', 0)
+        requests = self.requests()
+        requests.freshness = StoppedMeanwhile(requests.kernel)
+        refusal = asyncio.run(list_read_ends_late(requests.kernel, requests))
+        assert refusal.reason is Reason.DRAINING
+        in_flight = requests.kernel.service('balance').in_flight
+        assert in_flight.get('s0', 0) == SLOTS_TAKEN
+
+    def test_time_for_the_usual_answer(self) -> None:
+        """Guards against refusing what can still be answered."""
+        kernel = self.requests().kernel
+        stopping = kernel.service('stopping')
+        assert stopping.allows_start('job', Instant(1000))
+        stopping.exit_at = Instant(10)
+        latency = kernel.service('health').median_latency('job')
+        assert stopping.allows_start('job', Instant(10 - 2 * latency))
+        assert not stopping.allows_start('job', Instant(10 - latency))
