Let the soak restore the store from an older copy, and trim its history again

Cause: the soak played no store that comes back older. Its fault forgotten-history sent no offset to trim before, so the stand-in answered with an error and kept everything.

Change: restored-store copies the store, refuses for a while, goes back to the copy and writes the newest configuration again; forgotten-history names the end of the topic.

Test: the short seeded run in tests/test_soak.py.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,8 @@
 from soak.link import LinkFault
 from standins.backend import Fault
 from standins.log_store import StoreFault
+from standins.platform_deployment import call
+from teaselcove.platform.records import CONFIGURATION_TOPIC, SERVERS_TOPIC
 from teaselcove.registry import Registry
 
 if TYPE_CHECKING:
@@ -115,7 +117,24 @@
 @faults.register('forgotten-history')
 async def forget_history(soak: 'Soak', rng: random.Random) -> None:
     """Lets the store drop all but the newest record of each key."""
-    await soak.trim_store()
+    for topic in (CONFIGURATION_TOPIC, SERVERS_TOPIC):
+        await asyncio.to_thread(soak.deployment.trim, topic)
+
+
+@faults.register('restored-store')
+async def restore_store(soak: 'Soak', rng: random.Random) -> None:
+    """Lets the store come back from a copy that is some seconds old.
+
+    The operator and the servers write again what is lost.
+    """
+    store = soak.deployment.store
+    await asyncio.to_thread(call, store, 'POST', '/copy', {})
+    await wait_random_duration(rng)
+    await soak.set_fault(store, StoreFault(status=503))
+    await wait_random_duration(rng)
+    await asyncio.to_thread(call, store, 'POST', '/restore', {})
+    await soak.write_configuration()
+    await soak.set_fault(store, StoreFault())
 
 
 @faults.register('store-link')
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,7 +27,6 @@
 from standins.backend import Fault
 from standins.platform_deployment import BOUNDS, PlatformDeployment, call
 from standins.processes import StartError
-from teaselcove.platform.records import CONFIGURATION_TOPIC, SERVERS_TOPIC
 
 # Seeds are spread over this many loopback networks, so that runs with different
 # seeds rarely share addresses.
@@ -100,6 +99,7 @@
             for index in range(KEYS_PER_ORGANISATION)
         }
         self.version = 1
+        self.configuration = self.next_configuration()
         self.startup_ends_at: dict[str, float] = {}
         self.stop_requested_at: dict[str, float] = {}
         self.busy: set[str] = set()
@@ -171,9 +171,7 @@
         """Injects faults for some seconds; returns the observations."""
         for link in (*self.server_links.values(), *self.store_links.values()):
             await link.start()
-        await asyncio.to_thread(
-            self.deployment.start, self.next_configuration()
-        )
+        await asyncio.to_thread(self.deployment.start, self.configuration)
         self.caller_links = self.make_links(
             {
                 name: listen['frontendAddr']
@@ -309,14 +307,11 @@
         with suppress(OSError):
             await asyncio.to_thread(self.deployment.set_fault, address, fault)
 
-    async def trim_store(self) -> None:
-        """Lets the store drop all but the newest record of each key."""
-        for topic in (CONFIGURATION_TOPIC, SERVERS_TOPIC):
-            target = f'/log-trim?topic={topic}'
-            with suppress(OSError):
-                await asyncio.to_thread(
-                    call, self.deployment.store, 'POST', target, {}
-                )
+    async def write_configuration(self) -> None:
+        """Writes the newest configuration to the store."""
+        await asyncio.to_thread(
+            self.deployment.put_configuration, self.configuration
+        )
 
     async def withdraw_key(self, rng: random.Random) -> None:
         """Withdraws a random key of an organisation that has several."""
@@ -328,8 +323,8 @@
             return
         key = rng.choice(candidates)
         self.keys.pop(key)
-        payload = self.next_configuration()
-        await asyncio.to_thread(self.deployment.put_configuration, payload)
+        self.configuration = self.next_configuration()
+        await self.write_configuration()
         self.evidence.withdrawn.append(Withdrawal(key, time.monotonic()))
 
     async def announce_leaving(self, rng: random.Random) -> None:
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -176,6 +176,15 @@
         }
         return entries.get(name, b'')
 
+    def trim(self, topic: str) -> None:
+        """Drops all records of a topic but the newest one of each key."""
+        target = f'/log-newest?topic={topic}&part=0'
+        status, _, body = call(self.store, 'GET', target, {})
+        if status == OK_STATUS:
+            end = json.loads(body)['end']
+            target = f'/log-trim?topic={topic}&before={end}'
+            call(self.store, 'POST', target, {})
+
     def registered_hosts(self) -> set[str]:
         """Returns the hosts with a record in the store."""
         target = f'/log-newest?topic={HOSTS_TOPIC}&part=0'
