Judge a read by the era in which it was sent, also beside a full read

Cause: found when reading the diff. A read was sent with an offset of before. If a full read in the new era ended first, the answer was compared with the new era and believed, and the records between both were skipped.

Change: the answer is compared with the era in which its offset was valid. Two methods of Discovery have clearer names.

Test: test_read_beside_a_full_read fails on the code before.

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -129,7 +129,7 @@
         )
         previous = known or self.removals.by_server.get(server_id)
         if previous is not None and is_old_copy(renewed, previous):
-            renewed = self.without_old_copy(renewed, known, now)
+            renewed = self.merge_old_copy(renewed, known, now)
         started_ms = renewed.statement.started_ms
         if known is not None and known.statement.started_ms != started_ms:
             self.forget_process(server_id)
@@ -152,11 +152,11 @@
         if known is None:
             self.removals.record(server_id, position)
             return False
-        self.take_off(known, position, now)
+        self.remove_known(known, position, now)
         self.rebuild_index()
         return True
 
-    def without_old_copy(
+    def merge_old_copy(
         self, copied: KnownServer, known: KnownServer | None, now: Instant
     ) -> KnownServer:
         """Returns what is known of a server whose entry is an older copy.
@@ -184,12 +184,13 @@
             held_until=held_until if known.expires_at else known.held_until,
         )
 
-    def take_off(
+    def remove_known(
         self, known: KnownServer, position: Position, now: Instant
     ) -> None:
         """Drops a server without an entry, at once or if it stays away.
 
-        It may be alive if its entry expired during an outage, or was lost.
+        After the store's return, the server may be alive: its entry expired
+        during the outage, or was lost.
         """
         if not self.is_recovering(now) or not known.is_usable(now):
             self.forget(known.server.id, position)
@@ -240,7 +241,7 @@
         position = Position(end.era, end.offset - 1)
         for server_id, known in removed:
             if known.position.era < end.era:
-                self.take_off(known, position, now)
+                self.remove_known(known, position, now)
             else:
                 self.forget(server_id, position)
         if removed:
--- a/teaselcove/ingress/topic_consumer.py
+++ b/teaselcove/ingress/topic_consumer.py
@@ -1,4 +1,4 @@
-"""Reads the records of one topic in the store, and notices what was lost."""
+"""Reads the records of one topic, in full if the store may have lost some."""
 
 import logging
 
@@ -52,7 +52,7 @@
         """
         if self.offset is None:
             return None
-        asked_at = boot_time()
+        asked_at, era = boot_time(), self.era
         try:
             page = await self.store.read(
                 self.topic, self.offset, asked_at, wait
@@ -62,7 +62,7 @@
             self.offset = None
             return None
         self.check_era(page)
-        if page.era > self.era:
+        if page.era != era:
             return None
         # A concurrent read may have reset the offset because of a lost history.
         self.offset = max(self.offset or 0, page.next_offset)
--- a/tests/test_ingress_restored.py
+++ b/tests/test_ingress_restored.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from teaselcove.errors import StoreUnavailableError
+from teaselcove.errors import HistoryLostError, StoreUnavailableError
 from teaselcove.ids import Era, Instant, Version
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.configuration_exchange import ConfigurationExchange
@@ -18,6 +18,7 @@
     ConfigurationWanted,
     ServerNews,
 )
+from teaselcove.ingress.topic_consumer import TopicConsumer
 from teaselcove.kernel import Kernel
 from teaselcove.platform.records import SERVERS_TOPIC, decode_configuration
 from teaselcove.platform.store import NewestItem, NewestReply, StoreClient
@@ -116,6 +117,38 @@
         return RecordPage(written, OLD_END + 1, asked_at, era=era)
 
 
+class SlowStore:
+    """A restored store that answers one read only after a full read."""
+
+    def __init__(self) -> None:
+        self.full_reads = 0
+        self.full_read = asyncio.Event()
+
+    async def read(
+        self, topic: str, offset: int, asked_at: Instant, wait: float = 0
+    ) -> RecordPage:
+        """Reports a loss to the plain read, then answers the long poll."""
+        if not wait:
+            raise HistoryLostError(topic)
+        await self.full_read.wait()
+        written = (record('s0', OLD_END + 1),)
+        return RecordPage(written, OLD_END + 2, asked_at, era=AFTER)
+
+    async def newest(self, topic: str, asked_at: Instant) -> RecordPage:
+        """Returns the entries up to an end that grows."""
+        self.full_reads += 1
+        asyncio.get_running_loop().call_soon(self.full_read.set)
+        end = NEW_END if self.full_reads == 1 else OLD_END + 2
+        return RecordPage((record('s0', 20),), end, asked_at, era=AFTER)
+
+
+async def read_twice(
+    consumer: TopicConsumer,
+) -> list[tuple[RecordPage, bool]]:
+    """Reads with a long poll, and meanwhile without one."""
+    return await asyncio.gather(consumer.read(wait=1), consumer.read())
+
+
 class TestOffsets:
     """Offsets that were valid before the store went back."""
 
@@ -133,6 +166,20 @@
         assert host.usable(boot_time()) == ['s0']
         assert (consumer.offset, consumer.era) == (OLD_END + 1, AFTER)
 
+    def test_read_beside_a_full_read(self) -> None:
+        """Guards against skipping what lies below an offset of before.
+
+        A full read ends while another read, sent with the old offset, waits.
+        """
+        host = RestoredHost()
+        consumer = host.freshness.consumers[SERVERS_TOPIC]
+        consumer.offset = OLD_END
+        consumer.era = BEFORE
+        consumer.store = SlowStore()
+        pages = asyncio.run(read_twice(consumer))
+        assert [complete for _, complete in pages] == [True, True]
+        assert consumer.offset == OLD_END + 2
+
     def test_late_answer(self) -> None:
         """Guards against an answer that the store gave before it went back."""
         host = RestoredHost()
