Apply each record of a server only once

A host keeps what it knows beyond an older copy of an entry, at the place of that copy. The same record once more, from another host, was neither older nor of a later era, so it was taken for news: the server was ready again.

Change: a record at the place of the last one is outdated.

--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -204,9 +204,9 @@
     def is_outdated(
         self, server_id: BackendServerId, position: Position
     ) -> bool:
-        """Returns whether a newer record of a server was applied before."""
+        """Returns whether a record of a server, or a newer one, was applied."""
         known = self.servers.get(server_id)
-        if known is not None and known.position > position:
+        if known is not None and known.position >= position:
             return True
         return self.removals.covers(server_id, position)
 
--- a/tests/test_ingress_restored.py
+++ b/tests/test_ingress_restored.py
@@ -12,7 +12,7 @@
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.configuration_exchange import ConfigurationExchange
 from teaselcove.ingress.entities import KeyedRecord, RecordPage
-from teaselcove.ingress.freshness import Freshness
+from teaselcove.ingress.freshness import Freshness, server_entry
 from teaselcove.ingress.peer_messages import (
     ConfigurationNews,
     ConfigurationWanted,
@@ -303,6 +303,19 @@
         assert host.usable(10 + ENTRY_LIFETIME_S) == ['s0', 's1']
         assert host.usable(20) == ['s0', 's1', 's2']
 
+    @pytest.mark.parametrize('name', ['s0', 's2'])
+    def test_copy_from_another_host(self, name: str) -> None:
+        """Guards against an older copy that is believed the second time."""
+        host = RestoredHost()
+        leaving = record('s0', 503, sequence=2, state='draining')
+        host.read(BEFORE, 504, leaving, now=5)
+        copies = (record('s0', 20), record('s1', 21), record('s2', 22))
+        host.read(AFTER, NEW_END, *copies, complete=True, now=10)
+        copied = {item.key: item for item in copies}[name]
+        news = ServerNews(name, copied.offset, server_entry(copied), AFTER)
+        host.kernel.service('discovery').apply(news, Instant(11), 'host-2')
+        assert host.usable(11) == ['s1']
+
     def test_missing_server_is_kept_for_a_while(self) -> None:
         """Guards against dropping servers that started in the lost seconds."""
         host = RestoredHost()
