--- a/tests/test_ingress_restored_properties.py
+++ b/tests/test_ingress_restored_properties.py
@@ -215,7 +215,7 @@
             )
 
     def correct(self, name: str, entry: ServerEntry | None) -> None:
-        """Lets a server, or the store for one that is gone, correct an entry."""
+        """Lets a server, or the store if it is gone, correct its entry."""
         server = self.servers[name]
         if server.state is None:
             away = self.now - self.store.returned_at
