--- a/review/common/faulty_server.py
+++ b/review/common/faulty_server.py
@@ -19,6 +19,7 @@
 
 HEARTBEAT_S = 1.5
 WORK_S = 0.25
+LONG_WORK_S = 1
 SLOTS = 3
 LARGE_BYTES = 15 * 1024 * 1024
 # Two bytes in each chunk; sent 8,192 chunks at a time.
@@ -62,7 +63,7 @@
             self.end_headers()
             return
         with self.slots:
-            time.sleep(WORK_S)
+            time.sleep(LONG_WORK_S if 'long' in self.path else WORK_S)
         if self.flag.exists():
             self.answer_without_end(attempt)
             return
