--- a/review/common/faulty_server.py
+++ b/review/common/faulty_server.py
@@ -1,10 +1,12 @@
-"""A server whose answers can turn into bytes without end.
+"""A sound server whose answers can turn into bytes without end.
 
 Registers itself in the store like the project's stand-in and answers like it.
 Once the file `FLAG` exists, it answers each request with a chunked body that
-does not end until the caller closes.
+does not end until the caller closes. A path that contains `large` gets an
+answer of 15 MB; one with `long` takes a second. `GET /runs` lists the requests
+that it took with the times of arrival, `PUT /leave` lets it report `draining`.
 
-Run as `python faulty_server.py ADDRESS PORT ID ZONE STORE FLAG`.
+Run as `python -m review.common.faulty_server ADDRESS PORT ID ZONE STORE FLAG`.
 """
 
 import http.client
@@ -31,6 +33,7 @@
 
     allow_reuse_address = True
     daemon_threads = True
+    request_queue_size = 128
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -40,13 +43,31 @@
     name = ''
     flag = Path()
     slots = threading.Semaphore(SLOTS)
+    runs = []
+    entry = None
 
     def log_message(self, *arguments):
         """Writes no log."""
 
     def do_GET(self):
-        """Answers a read."""
-        self.answer()
+        """Answers a read, or lists the runs."""
+        if self.path != '/runs':
+            self.answer()
+            return
+        self.answer_operator(self.runs)
+
+    def do_PUT(self):
+        """Reports that the server leaves; answers with the time of the ack."""
+        self.entry.state = 'draining'
+        self.answer_operator(self.entry.write())
+
+    def answer_operator(self, found):
+        """Answers whoever plays the case."""
+        body = json.dumps(found).encode()
+        self.send_response(200)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
 
     def do_POST(self):
         """Answers a booking."""
@@ -62,6 +83,8 @@
             self.send_header('Content-Length', '0')
             self.end_headers()
             return
+        tenant = self.headers.get('Tenant', '')
+        self.runs.append((attempt, tenant, time.monotonic()))
         with self.slots:
             time.sleep(LONG_WORK_S if 'long' in self.path else WORK_S)
         if self.flag.exists():
@@ -90,34 +113,51 @@
                 self.wfile.write(CHUNKS)
 
 
-def register(name, zone, address, store):
-    """Writes the entry of the server to the store at each interval."""
-    ip, port = store.split(':')
-    born = int(time.time() * 1000)
-    sequence = 0
-    while True:
-        sequence += 1
-        entry = {
-            'service': 'job',
-            'address': address,
-            'zone': zone,
-            'version': 'v1',
-            'maxConcurrency': SLOTS,
-            'state': 'ready',
-            'warmupLeftMs': 0,
-            'sequence': sequence,
-            'born': born,
-        }
-        with suppress(OSError, http.client.HTTPException):
+class Entry:
+    """Writes the entry of the server to the store."""
+
+    def __init__(self, name, zone, address, store):
+        self.name = name
+        self.zone = zone
+        self.address = address
+        self.store = store
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = 'ready'
+        self.lock = threading.Lock()
+
+    def write(self):
+        """Writes the entry once; returns when the store has answered."""
+        with self.lock:
+            self.sequence += 1
+            entry = {
+                'service': 'job',
+                'address': self.address,
+                'zone': self.zone,
+                'version': 'v1',
+                'maxConcurrency': SLOTS,
+                'state': self.state,
+                'warmupLeftMs': 0,
+                'sequence': self.sequence,
+                'born': self.born,
+            }
+            ip, port = self.store.split(':')
             connection = http.client.HTTPConnection(ip, int(port), timeout=1)
             connection.request(
                 'PUT',
-                f'/record?topic=keyed.servers&key={name}',
+                f'/record?topic=keyed.servers&key={self.name}',
                 json.dumps(entry).encode(),
             )
             connection.getresponse().read()
             connection.close()
-        time.sleep(HEARTBEAT_S)
+            return time.monotonic()
+
+    def run(self):
+        """Writes the entry at each interval."""
+        while True:
+            with suppress(OSError, http.client.HTTPException):
+                self.write()
+            time.sleep(HEARTBEAT_S)
 
 
 def main(ip, port, name, zone, store, flag):
@@ -125,11 +165,8 @@
     Handler.name = name
     Handler.flag = Path(flag)
     with Server((ip, int(port)), Handler) as server:
-        threading.Thread(
-            target=register,
-            args=(name, zone, f'{ip}:{port}', store),
-            daemon=True,
-        ).start()
+        Handler.entry = Entry(name, zone, f'{ip}:{port}', store)
+        threading.Thread(target=Handler.entry.run, daemon=True).start()
         server.serve_forever()
 
 
