Skip an entry of the store that cannot be decoded, whatever its error

Cause: the decoders turned errors of msgspec into a CodecError. Nested values raise RecursionError, also in a field that is ignored, and a number of thousands of digits raises ValueError. The readers let these pass: the offset had moved on, the records behind the entry were never applied, and the next read confirmed the list without them.

Change: `decoding` turns each failure of a decoder into a CodecError, and one service, `entry-reader`, reads the entries of servers, hosts and the configuration: it skips, counts and logs those that cannot be read. Numbers that the hosts cannot pass on to each other are refused with the entry. A result that cannot be applied makes the consumer read all records again.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -165,6 +165,12 @@
                 'store_failures': self.store.failures,
                 'log_lines_left_out': self.structured_log.handler.total_dropped,
                 **self.gossip.sent_bytes(),
+                **{
+                    f'entries_skipped{{topic="{topic}"}}': count
+                    for topic, count in self.service(
+                        'entry-reader'
+                    ).skipped.items()
+                },
             }
         )
 
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -12,14 +12,12 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-from teaselcove.errors import (
-    CodecError,
-    StoreUnavailableError,
-)
+from teaselcove.errors import CodecError, StoreUnavailableError
 from teaselcove.ids import BackendServerId, Era, Instant
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.discovery import SEND_MARGIN_S
 from teaselcove.ingress.entities import (
+    IngressConfiguration,
     KeyedRecord,
     Position,
     RecordPage,
@@ -84,6 +82,7 @@
         self.kernel = kernel
         self.store = store
         self.gossip = gossip
+        self.entries = kernel.service('entry-reader')
         gossip.heartbeats.on_newer_version = self.fetch_newer_version
         self.reading = kernel.service('reading')
         self.consumers = {
@@ -181,17 +180,30 @@
     async def read_configuration(self, wait: float = 0) -> bool:
         """Reads new configurations; returns whether the store answered."""
         topic = records.CONFIGURATION_TOPIC
+        consumer = self.consumers[topic]
         try:
-            page, _ = await self.consumers[topic].read(wait)
+            page, _ = await consumer.read(wait)
         except (StoreUnavailableError, CodecError) as error:
             self.read_failed(topic, error)
             return False
         now = boot_time()
+        with consumer.applying():
+            self.apply_configurations(page, now)
+        return True
+
+    def apply_configurations(self, page: RecordPage, now: Instant) -> None:
+        """Applies configurations and sends the newest one, as the reader."""
         self.read_succeeded(page.era, now)
         catalog = self.kernel.service('catalog')
         is_first = catalog.version == 0
+        found = self.entries.decode_all(
+            records.CONFIGURATION_TOPIC,
+            (item for item in page.records if is_configuration(item)),
+            lambda item: records.decode_configuration(item.value),
+        )
         adopted = [
-            self.apply_configuration(item, page.era) for item in page.records
+            self.apply_configuration(configuration, record, page.era)
+            for record, configuration in found
         ]
         # The store accepts only valid configurations, so a record that cannot
         # be decoded withdraws no key.
@@ -201,20 +213,11 @@
         if any(adopted) and self.reading.passes_on(is_first, now):
             self.gossip.send_configuration(catalog.configuration)
             self.announce_read()
-        return True
 
-    def apply_configuration(self, record: KeyedRecord, era: Era) -> bool:
+    def apply_configuration(
+        self, configuration: IngressConfiguration, record: KeyedRecord, era: Era
+    ) -> bool:
         """Applies a configuration; returns whether it is newer."""
-        if record.key != records.CONFIGURATION_KEY or record.value is None:
-            return False
-        try:
-            configuration = records.decode_configuration(record.value)
-        except CodecError as error:
-            log.error(
-                'configuration-unreadable',
-                extra={'figures': {'offset': record.offset, 'why': str(error)}},
-            )
-            return False
         catalog = self.kernel.service('catalog')
         before = catalog.version
         changed = catalog.adopt(configuration)
@@ -314,9 +317,10 @@
     async def read_servers(self) -> bool:
         """Reads new server entries; returns whether the store answered."""
         topic = records.SERVERS_TOPIC
-        since = self.consumers[topic].asked_at
+        consumer = self.consumers[topic]
+        since = consumer.asked_at
         try:
-            page, complete = await self.consumers[topic].read()
+            page, complete = await consumer.read()
         except (StoreUnavailableError, CodecError) as error:
             self.read_failed(topic, error)
             return False
@@ -326,7 +330,8 @@
             self.kernel.service('discovery').recheck_recovery(
                 most_heartbeats(page), page.asked_at - since
             )
-        self.apply_servers(page, complete, now)
+        with consumer.applying():
+            self.apply_servers(page, complete, now)
         return True
 
     def apply_servers(
@@ -344,9 +349,10 @@
         should_notify = self.reading.is_reader(now) and not complete
         for record in page.records:
             name = BackendServerId(record.key)
-            news = ServerNews(
-                name, record.offset, server_entry(record), page.era
+            entry = self.entries.decode(
+                records.SERVERS_TOPIC, record, server_entry
             )
+            news = ServerNews(name, record.offset, entry, page.era)
             if discovery.apply(news, now) and should_notify:
                 self.gossip.send_server(news)
         if complete:
@@ -365,14 +371,16 @@
 
 
 def server_entry(record: KeyedRecord) -> ServerEntry | None:
-    """Returns the server entry of a record, or None if it has no valid one."""
+    """Returns the server entry of a record, or None if it was removed.
+
+    Raises:
+        CodecError: If the record has no valid one.
+    """
     if record.value is None:
         return None
-    try:
-        return records.decode_server(record.key, record.value)
-    except CodecError as error:
-        log.warning(
-            'server-unreadable',
-            extra={'figures': {'server': record.key, 'why': str(error)}},
-        )
-        return None
+    return records.decode_server(record.key, record.value)
+
+
+def is_configuration(record: KeyedRecord) -> bool:
+    """Returns whether a record of its topic is a configuration."""
+    return record.key == records.CONFIGURATION_KEY
--- a/teaselcove/ingress/registration.py
+++ b/teaselcove/ingress/registration.py
@@ -54,13 +54,11 @@
             lambda: self.store.newest(hosts.TOPIC, boot_time())
         )
         fleet = self.kernel.service('members')
-        for item in page.records:
-            try:
-                fleet.add_host(hosts.decode_host(item))
-            except CodecError as error:
-                log.warning(
-                    'host-unreadable', extra={'figures': {'why': str(error)}}
-                )
+        found = self.kernel.service('entry-reader').decode_all(
+            hosts.TOPIC, page.records, hosts.decode_host
+        )
+        for _, record in found:
+            fleet.add_host(record)
 
     async def retry(self, call: Callable[[], Awaitable[Any]]) -> Any:
         """Calls the store until the call succeeds."""
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -12,6 +12,7 @@
     'balance',
     'catalog',
     'discovery',
+    'entry_reader',
     'health',
     'hubs',
     'members',
--- a/teaselcove/ingress/topic_consumer.py
+++ b/teaselcove/ingress/topic_consumer.py
@@ -1,6 +1,8 @@
 """Reads the records of one topic, in full if the store may have lost some."""
 
 import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from teaselcove.errors import HistoryLostError, StoreUnavailableError
 from teaselcove.ids import Era, Instant
@@ -69,6 +71,19 @@
         self.asked_at = asked_at
         return page
 
+    @contextmanager
+    def applying(self) -> Iterator[None]:
+        """Wraps the use of a result; if it fails, all records are read again.
+
+        Otherwise the records behind the one that failed would never be used,
+        and the next read would show that there is nothing new.
+        """
+        try:
+            yield
+        except Exception:
+            self.offset = None
+            raise
+
     def check_era(self, page: RecordPage) -> None:
         """Checks that a result is not older than what was read before.
 
--- a/teaselcove/platform/addresses.py
+++ b/teaselcove/platform/addresses.py
@@ -3,6 +3,7 @@
 import ipaddress
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 def is_address(text: str) -> bool:
@@ -12,4 +13,6 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    if len(port) > MAX_PORT_DIGITS or not (port.isascii() and port.isdigit()):
+        return False
+    return 0 < int(port) <= MAX_PORT
--- a/teaselcove/platform/records.py
+++ b/teaselcove/platform/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from teaselcove.decoding import decoding
 from teaselcove.entities import Server
 from teaselcove.errors import CodecError
 from teaselcove.ids import (
@@ -34,8 +35,11 @@
 READY = 'ready'
 DRAINING = 'draining'
 VERSION_PREFIX = 'r'
+# Hosts pass numbers on as signed 64-bit ones.
+MAX_INT = 2**63 - 1
 
-Positive = Annotated[int, msgspec.Meta(ge=1)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_INT)]
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INT, le=MAX_INT)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -53,7 +57,7 @@
 
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: Integer | None = None
     rate_per_s: NonNegative = 0
     burst: NonNegative = 0
 
@@ -88,7 +92,7 @@
     match: WireMatch
     action: WireAction
     target_latency_ms: NonNegative = 0
-    priority: int = 0
+    priority: Integer = 0
     anonymous: bool = False
 
 
@@ -129,9 +133,9 @@
     state: str
     warmup_left_ms: NonNegative = 0
     # Number of the heartbeat since the start.
-    sequence: int = 0
+    sequence: Integer = 0
     # Start time in Unix milliseconds.
-    born: int = 0
+    born: Integer = 0
 
 
 def decode_configuration(payload: bytes) -> IngressConfiguration:
@@ -140,10 +144,8 @@
     Raises:
         CodecError: If the record is not a valid configuration.
     """
-    try:
+    with decoding('configuration'):
         wire = msgspec.json.decode(payload, type=WireConfiguration)
-    except msgspec.MsgspecError as error:
-        raise CodecError(f'configuration: {error}') from error
     return IngressConfiguration(
         decode_version(wire.version),
         CallerLimits(
@@ -168,12 +170,17 @@
     """Decodes a version such as `r12`.
 
     Raises:
-        CodecError: If the text is not a version.
+        CodecError: If the text is not a version, or its number is too large
+            to be passed on between hosts.
     """
     number = text.removeprefix(VERSION_PREFIX)
     if number == text or not (number.isascii() and number.isdigit()):
-        raise CodecError(f'configuration: {text!r} is not a version')
-    return Version(int(number))
+        raise CodecError(f'configuration: {text[:64]!r} is not a version')
+    with decoding('configuration: version'):
+        version = Version(int(number))
+    if version > MAX_INT:
+        raise CodecError(f'configuration: {text[:64]!r} is too large')
+    return version
 
 
 def decode_organisation(tenant: WireTenant) -> IngressOrganisation:
@@ -219,10 +226,8 @@
         CodecError: If the record is malformed or has an invalid state or
             address.
     """
-    try:
+    with decoding(f'server {key}'):
         wire = msgspec.json.decode(payload, type=WireServer)
-    except msgspec.MsgspecError as error:
-        raise CodecError(f'server {key}: {error}') from error
     if wire.state not in {READY, DRAINING} or not is_address(wire.address):
         raise CodecError(f'server {key}: no usable state or address')
     server = Server(
