Start a failed background task again instead of stopping the host

Cause: `on_task_done` answered any failure with `drain`. A failed read that a request waited for was seen by nobody.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -18,7 +18,7 @@
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.kernel import kernel_settings
 from teaselcove.ingress.log_lines import StructuredLog
-from teaselcove.ingress.readout import RequestMetrics
+from teaselcove.ingress.readout import RequestMetrics, labelled
 from teaselcove.ingress.registration import Registration
 from teaselcove.ingress.requests import Requests
 from teaselcove.ingress.server import (
@@ -95,7 +95,7 @@
         self.draining = False
         self.exit_at = Instant(float('inf'))
         self.stopping = asyncio.Event()
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.supervisor = self.service('supervisor')
 
     def service(self, name: str) -> Any:
         """Returns the kernel service with a name."""
@@ -165,12 +165,12 @@
                 'store_failures': self.store.failures,
                 'log_lines_left_out': self.structured_log.handler.total_dropped,
                 **self.gossip.sent_bytes(),
-                **{
-                    f'entries_skipped{{topic="{topic}"}}': count
-                    for topic, count in self.service(
-                        'entry-reader'
-                    ).skipped.items()
-                },
+                **labelled('task_failures', 'task', self.supervisor.failures),
+                **labelled(
+                    'entries_skipped',
+                    'topic',
+                    self.service('entry-reader').skipped,
+                ),
             }
         )
 
@@ -182,8 +182,8 @@
         self.registration = Registration(
             self.kernel, self.store, self.own_record
         )
-        self.service('store-era').on_restored = lambda: self.spawn(
-            self.registration.register_again()
+        self.service('store-era').on_restored = lambda: self.supervisor.start(
+            'register-again', self.registration.register_again
         )
         self.freshness = Freshness(self.kernel, self.store, self.gossip)
         self.requests = Requests(
@@ -207,24 +207,12 @@
     def start_tasks(self) -> None:
         """Starts the background tasks."""
         self.gossip.transport.bind()
-        self.spawn(self.gossip.transport.run())
-        self.spawn(self.freshness.follow_configuration())
-        self.spawn(self.freshness.keep_fresh())
-        self.spawn(self.join_fleet())
-        self.spawn(self.run_housekeeping())
-
-    def spawn(self, work: Any) -> None:
-        """Runs a coroutine as a background task."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.on_task_done)
-
-    def on_task_done(self, task: asyncio.Task[Any]) -> None:
-        """Drains the host if a background task failed."""
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error('a task failed', exc_info=task.exception())
-            self.drain()
+        start = self.supervisor.start
+        start('receive', self.gossip.transport.run)
+        start('follow-configuration', self.freshness.follow_configuration)
+        start('keep-fresh', self.freshness.keep_fresh)
+        start('join-fleet', self.join_fleet)
+        start('housekeeping', self.run_housekeeping)
 
     async def listen(self) -> None:
         """Starts all listeners."""
@@ -295,8 +283,7 @@
             await asyncio.sleep(0.05)
         for opened in self.listeners:
             opened.stop()
-        for task in tuple(self.tasks):
-            task.cancel()
+        self.supervisor.stop()
         self.pool.close()
         self.gossip.transport.close()
 
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -243,11 +243,8 @@
 
     def spawn(self, read: Callable[[], Awaitable[bool]]) -> asyncio.Task[None]:
         """Runs a read in the background."""
-
-        async def work() -> None:  # noqa: WPS430
-            await read()
-
-        return asyncio.get_running_loop().create_task(work())
+        work = self.kernel.service('supervisor').run_once('read', read)
+        return asyncio.get_running_loop().create_task(work)
 
     async def ensure_servers(self) -> None:
         """Reads the servers before a request if the list is too old.
--- a/teaselcove/ingress/readout.py
+++ b/teaselcove/ingress/readout.py
@@ -1,6 +1,7 @@
 """Request counters and latency histogram of a host."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -12,6 +13,15 @@
 PERCENTILES = (50, 90, 99)
 
 
+def labelled(
+    name: str, label: str, counts: Mapping[str, int]
+) -> dict[str, int]:
+    """Returns counts as metrics that differ in one label."""
+    return {
+        f'{name}{{{label}="{kind}"}}': count for kind, count in counts.items()
+    }
+
+
 class RequestMetrics:
     """Counts requests by outcome and records their latency."""
 
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -23,6 +23,7 @@
     'server_limits',
     'stopping',
     'store_era',
+    'supervision',
     'vouching',
 )
 
