Read whole numbers in headers in one place, with a limit on their digits

A caller got a 500 of the host's own where a server had answered: a `Server-Limit` of 1.8e308 made the share of the limit infinite, and a `Keep-Alive` timeout of thousands of digits, or in digits of another script, could not become a number. A `Deadline-Ms` of that kind ended the caller's own request in the same way, and a `Store-Era` over 64 bits could not be sent to other hosts in a heartbeat.

Cause: four readers of their own, each with another notion of a valid number.

Places of a limit are compared before rounding.

--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -13,7 +13,7 @@
     RawAnswer,
     connect,
 )
-from teaselcove.http_fields import MS_PER_S, CallerRequest
+from teaselcove.http_fields import MS_PER_S, CallerRequest, parse_count
 from teaselcove.ids import BackendServerId, Instant, OrganisationId
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.idle_limits import IdleLimits
@@ -236,8 +236,8 @@
     text = answer.header(KEEP_ALIVE)
     for part in (text or '').split(','):
         name, _, value = part.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdigit():
-            return int(value)
+        if name.lower() == 'timeout':
+            return parse_count(value)
     return None
 
 
--- a/teaselcove/ingress/server.py
+++ b/teaselcove/ingress/server.py
@@ -17,6 +17,7 @@
     CallerRequest,
     Headers,
     key_of,
+    parse_count,
 )
 from teaselcove.ids import ZoneName
 from teaselcove.ingress.acceptance import Arrival
@@ -304,9 +305,10 @@
 
 def parse_deadline(text: str | None) -> float | None:
     """Returns the seconds to answer within; None if absent or malformed."""
-    if text is None or not text.isascii() or not text.isdigit():
+    milliseconds = None if text is None else parse_count(text)
+    if milliseconds is None:
         return None
-    return max(0, int(text) / MS_PER_S - DEADLINE_MARGIN_S)
+    return max(0, milliseconds / MS_PER_S - DEADLINE_MARGIN_S)
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
--- a/teaselcove/ingress/server_limits.py
+++ b/teaselcove/ingress/server_limits.py
@@ -164,7 +164,7 @@
         """
         spare = (BOUND_FACTOR - 1) * limit * BOUND_WINDOW_S + BOUND_REQUESTS
         places = self.kernel.service('hubs').max_hosts_in_use
-        return max(1, min(places, int(spare) - ARRIVAL_RESERVE))
+        return max(1, int(min(places, spare - ARRIVAL_RESERVE)))
 
     def allows(self, server: BackendServerId, now: Instant) -> bool:
         """Returns whether this host may send a request to a server."""
--- a/teaselcove/platform/headers.py
+++ b/teaselcove/platform/headers.py
@@ -3,6 +3,7 @@
 import logging
 import math
 
+from teaselcove.http_fields import parse_count
 from teaselcove.ids import Era
 
 log = logging.getLogger('teaselcove.requests')
@@ -50,7 +51,8 @@
     """Returns the era in an answer, or None if there is no valid one."""
     if text is None:
         return None
-    if text.isascii() and text.isdigit():
-        return Era(int(text))
+    era = parse_count(text)
+    if era is not None:
+        return Era(era)
     log.warning('era-unreadable', extra={'figures': {'text': text[:32]}})
     return None
