Hold signals back while a host's process starts or ends

A change of settings, or a stop, that met a process in the 0.3 s of its start ended it with signal 1 or 15. One that met its last steps did so too: the event loop removes the handlers as it closes, and the default action of the signal ends the process.

Change: the first statement of the program blocks both signals; they are let through when the handlers stand, and blocked again before the loop closes. The modules are imported after that. The first tens of milliseconds of Python itself remain.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -22,6 +22,7 @@
 
 CALL_TIMEOUT_S = 5
 METRICS_PORT = 9464
+HOST_MODULE = 'teaselcove.ingress'
 OK_STATUS = 200
 DRAINING_STATE = b'draining'
 BOUNDS = {
@@ -114,16 +115,28 @@
         settings = self.directory / 'ingress.jsonc'
         settings_text = f'{{"metrics_port": {METRICS_PORT}}} // else defaults\n'
         settings.write_text(settings_text, encoding='utf-8')
+        self.run_host(name, HOST_MODULE)
+        ready_ip, port = self.listen[name]['ready'].split(':')
+        wait_until_listening(ready_ip, int(port))
+
+    def run_host(self, name: str, *module: str) -> None:
+        """Runs a host with the settings that were written for it.
+
+        Args:
+            name: Name of the host.
+            module: Module that runs it, and the module's arguments before the
+                path of the settings.
+        """
+        path = self.directory / f'{name}.json'
+        settings = self.directory / 'ingress.jsonc'
         output = (self.directory / f'{name}.log').open('ab')
         self.processes.outputs.append(output)
         self.processes.running[name] = subprocess.Popen(
-            [sys.executable, '-m', 'teaselcove.ingress', str(settings)],
+            [sys.executable, '-m', *module, str(settings)],
             stdout=output,
             stderr=output,
             env={**os.environ, SETTINGS_VARIABLE: str(path)},
         )
-        ready_ip, port = self.listen[name]['ready'].split(':')
-        wait_until_listening(ready_ip, int(port))
 
     def boot_settings(self, name: str, ip: str) -> dict[str, Any]:
         """Returns the boot settings that the platform would write."""
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -10,7 +10,7 @@
 
 from teaselcove import errors
 from teaselcove.ids import Instant, ZoneName
-from teaselcove.ingress import listener, members, services
+from teaselcove.ingress import held_signals, listener, members, services
 from teaselcove.ingress.backend import BackendPool
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.entities import HostRecord
@@ -194,6 +194,8 @@
         log.info('start', extra={'figures': {'host': self.boot.host}})
         await self.stopping.wait()
         await self.finish_requests()
+        # The event loop removes the handlers as it closes.
+        held_signals.hold()
         self.store.close()
         log.info('stop', extra={'figures': {'host': self.boot.host}})
 
@@ -203,6 +205,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.drain)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        held_signals.let_through()
 
     def start_tasks(self) -> None:
         """Starts the background tasks."""
--- /dev/null
+++ b/tests/test_ingress_process_ends.py
@@ -0,0 +1,83 @@
+"""Tests that a host's process starts, and ends only when it is told to."""
+
+import os
+import signal
+import subprocess
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.platform_deployment import PlatformDeployment
+from tests.ingress_support import configuration
+from tests.test_ingress_process import HAMLET, send, wait_for
+
+WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
+NETWORK = 140 + WORKER
+HOST = 'host-0'
+WAIT_S = 15
+# Short enough for several signals within the last steps of a stop.
+SIGNAL_INTERVAL_S = 0.002
+
+pytestmark = pytest.mark.xdist_group('process-ends')
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[PlatformDeployment]:
+    """A deployment with one host."""
+    deployment = PlatformDeployment(tmp_path, NETWORK, hosts=1, servers=2)
+    try:
+        deployment.start(configuration(tenants=[HAMLET]))
+        wait_for(lambda: deployment.is_ready(HOST))
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+def restart(
+    deployment: PlatformDeployment, *module: str
+) -> subprocess.Popen[bytes]:
+    """Kills the host and starts it again as another module."""
+    deployment.processes.kill(HOST)
+    deployment.run_host(HOST, *module)
+    return deployment.processes.running[HOST]
+
+
+def is_serving(deployment: PlatformDeployment) -> bool:
+    """Returns whether the host answers a request; fails if it has ended."""
+    code = deployment.processes.running[HOST].poll()
+    assert code is None, f'the host ended with {code}'
+    try:
+        return send(deployment, HOST)[0] == 200
+    except OSError:
+        return False
+
+
+class TestSignals:
+    """Signals at the start and at the end of a process."""
+
+    def test_reload_during_start(self, deployment: PlatformDeployment) -> None:
+        """Guards against a host that a change of settings ends at its start."""
+        restart(deployment, 'tests.signal_at_import', 'SIGHUP')
+        wait_for(lambda: is_serving(deployment))
+        log = deployment.directory / f'{HOST}.log'
+        assert b'"kind":"reload"' in log.read_bytes()
+
+    def test_stop_during_start(self, deployment: PlatformDeployment) -> None:
+        """Guards against an end without the host's own way out."""
+        process = restart(deployment, 'tests.signal_at_import', 'SIGTERM')
+        assert process.wait(WAIT_S) == 0
+
+    @pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+    def test_signals_during_stop(
+        self, deployment: PlatformDeployment, number: signal.Signals
+    ) -> None:
+        """Guards against a signal that ends a host in its last steps."""
+        process = deployment.processes.running[HOST]
+        process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + WAIT_S
+        while process.poll() is None and time.monotonic() < deadline:
+            process.send_signal(number)
+            time.sleep(SIGNAL_INTERVAL_S)
+        assert process.poll() == 0
