Start and serve beside a port that another program holds

A host ended with 1 before it had served anything, and again at each restart, if its port for metrics, the first of its ports for messages between hosts, or a port for callers was in use.

Cause: all ports were opened once, in the start of the process, and any failure ended it. Of the range of ports that the platform leaves free, only the first was used.

Reproduced in a trial with one host (metrics port, first port of the range, port for callers held by another program): exit 1 in all three.

Change: each listener is a background task of its own, which the supervisor starts again until the port is free. A host takes the first free port of its range for messages. It is ready only once the port for callers is open.

Evidence: the four tests of TestPorts in tests/test_ingress_process_ends.py fail without the change ("the host ended with 1") and pass with it.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -18,6 +18,7 @@
 from teaselcove.ingress.gossip import Gossip
 from teaselcove.ingress.kernel import kernel_settings
 from teaselcove.ingress.log_lines import StructuredLog
+from teaselcove.ingress.peer_port import choose_peer_port, transport_settings
 from teaselcove.ingress.readout import RequestMetrics, labelled
 from teaselcove.ingress.registration import Registration
 from teaselcove.ingress.requests import Requests
@@ -29,7 +30,6 @@
 from teaselcove.ingress.settings import IngressSettings, load_settings
 from teaselcove.platform import boot as platform_boot
 from teaselcove.platform.store import StoreClient
-from teaselcove.settings import HostSettings
 
 log = logging.getLogger('teaselcove.host')
 
@@ -76,11 +76,12 @@
         self.kernel = services.build(
             kernel_settings(boot, settings), secrets.randbits(SEED_BITS)
         )
+        peer_port = choose_peer_port(boot)
         self.own_record = HostRecord(
             boot.host,
             boot.zone,
             boot.caller_address,
-            f'{boot.ip}:{boot.peer_port}',
+            f'{boot.ip}:{peer_port}',
             int(time.time() * MS_PER_S),
             members.capacity_of(boot.cores, boot.link_mbps),
         )
@@ -90,7 +91,7 @@
         )
         self.pool = BackendPool(boot.ip, settings.max_answer_bytes)
         self.gossip = Gossip(
-            self.kernel, self.own_record, transport_settings(boot)
+            self.kernel, self.own_record, transport_settings(boot, peer_port)
         )
         self.draining = False
         self.exit_at = Instant(float('inf'))
@@ -105,7 +106,8 @@
         """Returns whether the host can serve requests."""
         has_servers = self.service('discovery').confirmed_at is not None
         has_routes = self.service('catalog').version > 0
-        return has_routes and has_servers and not self.draining
+        knows_enough = has_routes and has_servers
+        return knows_enough and self.callers.is_open and not self.draining
 
     def resolve(self, zone: ZoneName) -> dict[str, Any]:
         """Returns the hosts that callers in a zone should use."""
@@ -189,7 +191,7 @@
         self.requests = Requests(
             self.kernel, self.pool, self.freshness, self.gossip
         )
-        await self.listen()
+        self.make_listeners()
         self.start_tasks()
         log.info('start', extra={'figures': {'host': self.boot.host}})
         await self.stopping.wait()
@@ -209,16 +211,26 @@
 
     def start_tasks(self) -> None:
         """Starts the background tasks."""
-        self.gossip.transport.bind()
         start = self.supervisor.start
-        start('receive', self.gossip.transport.run)
+        for opened in self.listeners:
+            start(f'listen-{opened.port}', opened.start)
+        start('receive', self.receive)
         start('follow-configuration', self.freshness.follow_configuration)
         start('keep-fresh', self.freshness.keep_fresh)
         start('join-fleet', self.join_fleet)
         start('housekeeping', self.run_housekeeping)
 
-    async def listen(self) -> None:
-        """Starts all listeners."""
+    async def receive(self) -> None:
+        """Receives messages of other hosts."""
+        self.gossip.transport.bind()
+        await self.gossip.transport.run()
+
+    def make_listeners(self) -> None:
+        """Creates all listeners; a background task starts each of them.
+
+        A port may be in use for a while, and a host serves without its port for
+        metrics.
+        """
         operations = OperationsEndpoint(self)
         self.callers = listener.Listener(
             CallerEndpoint(self),
@@ -232,8 +244,6 @@
             self.callers,
             *(listener.Listener(operations, address) for address in addresses),
         ]
-        for opened in self.listeners:
-            await opened.start()
 
     async def join_fleet(self) -> None:
         """Registers the host, loads the other hosts, then starts gossip."""
@@ -291,19 +301,6 @@
         self.gossip.transport.close()
 
 
-def transport_settings(boot: platform_boot.BootSettings) -> HostSettings:
-    """Returns the settings of the transport between hosts."""
-    return HostSettings(
-        host=boot.host,
-        zone=boot.zone,
-        address=boot.ip,
-        port=0,
-        peer_port=boot.peer_port,
-        log_url='',
-        list_url='',
-    )
-
-
 def serve(path: Path) -> None:
     """Runs a host until a stop is requested.
 
--- a/teaselcove/ingress/listener.py
+++ b/teaselcove/ingress/listener.py
@@ -169,7 +169,8 @@
         Raises:
             OSError: If the address cannot be used.
         """
-        self.config.load()
+        if not self.config.loaded:
+            self.config.load()
         listener = listening_socket(self.host, self.port)
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
@@ -183,6 +184,11 @@
         for connection in tuple(self.state.connections):
             connection.shutdown()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it accepts connections, or did before it was stopped."""
+        return self.server is not None
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in flight."""
--- a/teaselcove/listening.py
+++ b/teaselcove/listening.py
@@ -1,6 +1,8 @@
 """Listening sockets."""
 
 import socket
+from collections.abc import Iterable
+from contextlib import closing, suppress
 
 
 def listening_socket(host: str, port: int) -> socket.socket:
@@ -19,3 +21,11 @@
     listener.bind((host, port))
     listener.setblocking(False)
     return listener
+
+
+def first_free_port(host: str, ports: Iterable[int]) -> int | None:
+    """Returns the first port that can be listened on, or None."""
+    for port in ports:
+        with suppress(OSError), closing(listening_socket(host, port)):
+            return port
+    return None
--- a/teaselcove/platform/boot.py
+++ b/teaselcove/platform/boot.py
@@ -9,6 +9,7 @@
 
 from teaselcove.errors import SettingsError
 from teaselcove.ids import HostId, ZoneName
+from teaselcove.platform.addresses import MAX_PORT
 
 log = logging.getLogger('teaselcove.host')
 
@@ -136,7 +137,7 @@
         caller_address: IP address and port for callers' requests.
         ready_address: IP address and port for readiness checks and metrics.
         resolve_address: IP address and port for host resolution by callers.
-        peer_port: Port for messages between hosts.
+        peer_ports: Ports of which one is for messages between hosts.
         store_address: IP address and port of the platform's store.
         heartbeat_interval: Seconds between heartbeats of backend servers.
         memory_bytes: Memory limit of the process.
@@ -152,7 +153,7 @@
     caller_address: str
     ready_address: str
     resolve_address: str
-    peer_port: int
+    peer_ports: range
     store_address: str
     heartbeat_interval: float
     memory_bytes: int
@@ -162,6 +163,17 @@
     bounds: Bounds
 
 
+def port_range(first: int, last: int) -> range:
+    """Returns the ports from the first to the last one.
+
+    Raises:
+        SettingsError: If there is none.
+    """
+    if not (0 < first <= last and last <= MAX_PORT):
+        raise SettingsError(f'internalPortRange: no port in {first} to {last}')
+    return range(first, last + 1)
+
+
 def settings_path() -> Path:
     """Returns the path of the settings file from the environment.
 
@@ -220,7 +232,7 @@
         wire.network.listen_addrs.frontend_addr,
         wire.network.listen_addrs.ready,
         wire.network.listen_addrs.directory_addr,
-        wire.network.internal_port_range[0],
+        port_range(*wire.network.internal_port_range),
         wire.platform.platform.address,
         wire.platform.heartbeat_interval_ms / MS_PER_S,
         int(wire.me.limits.memory_mb * MB),
--- a/teaselcove/transport.py
+++ b/teaselcove/transport.py
@@ -92,15 +92,23 @@
         secret = settings.peer_secret
         self.curve = CurveKeys(secret) if secret else None
         self.inbound = self.context.socket(zmq.PULL)
+        self.is_bound = False
 
     def bind(self) -> None:
-        """Binds the socket for messages from other hosts."""
+        """Binds the socket for messages from other hosts, unless it is bound.
+
+        Raises:
+            zmq.ZMQError: If the address cannot be used.
+        """
+        if self.is_bound:
+            return
         self.set_options(self.inbound)
         self.inbound.maxmsgsize = messages.MAX_MESSAGE_BYTES
         if self.curve:
             self.curve.protect_server(self.inbound)
         address = self.settings.address
         self.inbound.bind(f'tcp://{address}:{self.settings.peer_port}')
+        self.is_bound = True
 
     def set_options(self, socket: zmq.Socket) -> None:
         """Sets the options common to all sockets.
--- a/tests/test_ingress_process_ends.py
+++ b/tests/test_ingress_process_ends.py
@@ -1,15 +1,22 @@
 """Tests that a host's process starts, and ends only when it is told to."""
 
+import json
 import os
 import signal
+import socket
 import subprocess
 import time
 from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
 import pytest
 
-from standins.platform_deployment import PlatformDeployment
+from standins.platform_deployment import (
+    HOST_MODULE,
+    METRICS_PORT,
+    PlatformDeployment,
+)
 from tests.ingress_support import configuration
 from tests.test_ingress_process import HAMLET, send, wait_for
 
@@ -81,3 +88,51 @@
             process.send_signal(number)
             time.sleep(SIGNAL_INTERVAL_S)
         assert process.poll() == 0
+
+
+@contextmanager
+def holding(*addresses: str) -> Iterator[None]:
+    """Holds ports as another program would."""
+    with ExitStack() as stack:
+        for address in addresses:
+            ip, port = address.split(':')
+            other = stack.enter_context(socket.socket())
+            other.bind((ip, int(port)))
+            other.listen()
+        yield
+
+
+class TestPorts:
+    """Ports that another program holds."""
+
+    def test_metrics_port(self, deployment: PlatformDeployment) -> None:
+        """Guards against a host that does not serve for want of metrics."""
+        deployment.processes.kill(HOST)
+        ip = deployment.listen[HOST]['ready'].split(':')[0]
+        with holding(f'{ip}:{METRICS_PORT}'):
+            deployment.run_host(HOST, HOST_MODULE)
+            wait_for(lambda: is_serving(deployment))
+
+    def test_first_peer_port(self, deployment: PlatformDeployment) -> None:
+        """Guards against a host that uses one port of its range only."""
+        deployment.processes.kill(HOST)
+        settings = deployment.directory / f'{HOST}.json'
+        boot = json.loads(settings.read_bytes())
+        first = boot['network']['internalPortRange'][0]
+        boot['network']['internalPortRange'] = [first, first + 15]
+        settings.write_text(json.dumps(boot), encoding='utf-8')
+        with holding(f'{boot["self"]["ip"]}:{first}'):
+            deployment.run_host(HOST, HOST_MODULE)
+            wait_for(lambda: is_serving(deployment))
+
+    @pytest.mark.parametrize('purpose', ['frontendAddr', 'ready'])
+    def test_port_in_use_for_a_while(
+        self, deployment: PlatformDeployment, purpose: str
+    ) -> None:
+        """Guards against an end for a port that is free again soon."""
+        deployment.processes.kill(HOST)
+        log = deployment.directory / f'{HOST}.log'
+        with holding(deployment.listen[HOST][purpose]):
+            deployment.run_host(HOST, HOST_MODULE)
+            wait_for(lambda: b'Address already in use' in log.read_bytes())
+        wait_for(lambda: is_serving(deployment))
