Wait for valid settings at the start instead of ending

Operators saw processes that didn't start (FAULT on real processes). The platform replaces a settings file also beside a restart; a host that started while half of it was there ended with 2.

Cause: a running host keeps its settings when a file is not valid, a starting one did not try a second time. Values that the decoder fails on in other ways than it documents, such as nested ones, would also have failed a reload.

Change: a host tries its settings again for five seconds, unless it is told to stop, and then ends as before.

Evidence: both tests of TestSettings in tests/test_ingress_process_ends.py fail without the change and pass with it. Not seen by the users' logs, which were not kept; this is one way to their lines.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -309,7 +309,11 @@
         SettingsError: If the platform's settings are not valid.
     """
     settings = load_settings(path)
-    boot = platform_boot.load_boot(platform_boot.settings_path())
+    boot = platform_boot.wait_for_boot(
+        platform_boot.settings_path(), held_signals.is_stop_pending
+    )
+    if boot is None:
+        return
     structured_log = StructuredLog(
         settings.log, settings.log_lines_per_second, boot.host
     )
--- a/teaselcove/ingress/held_signals.py
+++ b/teaselcove/ingress/held_signals.py
@@ -18,3 +18,8 @@
 def let_through() -> None:
     """Delivers the signals held back, and all later ones."""
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)
+
+
+def is_stop_pending() -> bool:
+    """Returns whether a request to stop is held back."""
+    return not signal.sigpending().isdisjoint((signal.SIGTERM, signal.SIGINT))
--- a/teaselcove/platform/boot.py
+++ b/teaselcove/platform/boot.py
@@ -2,12 +2,15 @@
 
 import logging
 import os
+import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
-from teaselcove.errors import SettingsError
+from teaselcove.decoding import decoding
+from teaselcove.errors import CodecError, SettingsError
 from teaselcove.ids import HostId, ZoneName
 from teaselcove.platform.addresses import MAX_PORT
 
@@ -15,6 +18,10 @@
 
 SETTINGS_VARIABLE = 'TEASELCOVE_CONFIG'
 MS_PER_S = 1000
+# Checks of a settings file that is not valid at the start, and the seconds
+# between two of them.
+REPLACE_CHECKS = 50
+REPLACE_CHECK_S = 0.1
 MB = 1024 * 1024
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -213,6 +220,34 @@
     return decode_boot(payload, str(path))
 
 
+def wait_for_boot(
+    path: Path, is_stopping: Callable[[], bool]
+) -> BootSettings | None:
+    """Loads the settings file; waits a while if it is not valid.
+
+    The platform may be replacing the file while the process starts.
+
+    Args:
+        path: Path of the file.
+        is_stopping: Returns whether a stop was requested.
+
+    Returns:
+        The settings, or None if a stop was requested first.
+
+    Raises:
+        SettingsError: If the file is still not valid after the wait.
+    """
+    for _ in range(REPLACE_CHECKS):
+        try:
+            return load_boot(path)
+        except SettingsError as error:
+            log.warning('settings are tried again: %s', error)
+        if is_stopping():
+            return None
+        time.sleep(REPLACE_CHECK_S)
+    return load_boot(path)
+
+
 def decode_boot(payload: bytes, path: str) -> BootSettings:
     """Decodes the content of a settings file.
 
@@ -220,9 +255,10 @@
         SettingsError: If a field is missing or not valid.
     """
     try:
-        wire = msgspec.json.decode(payload, type=WireBoot)
-    except msgspec.MsgspecError as error:
-        raise SettingsError(f'{path}: {error}') from error
+        with decoding(path):
+            wire = msgspec.json.decode(payload, type=WireBoot)
+    except CodecError as error:
+        raise SettingsError(str(error)) from error
     bounds = wire.terms.bounds
     return BootSettings(
         HostId(wire.me.node_name),
--- a/tests/test_ingress_process_ends.py
+++ b/tests/test_ingress_process_ends.py
@@ -136,3 +136,33 @@
             deployment.run_host(HOST, HOST_MODULE)
             wait_for(lambda: b'Address already in use' in log.read_bytes())
         wait_for(lambda: is_serving(deployment))
+
+
+class TestSettings:
+    """Settings that the platform replaces while a host starts."""
+
+    def test_replaced_during_start(
+        self, deployment: PlatformDeployment
+    ) -> None:
+        """Guards against a host that does not start for half a file."""
+        deployment.processes.kill(HOST)
+        settings = deployment.directory / f'{HOST}.json'
+        log = deployment.directory / f'{HOST}.log'
+        whole = settings.read_bytes()
+        settings.write_bytes(whole[: len(whole) // 2])
+        deployment.run_host(HOST, HOST_MODULE)
+        wait_for(lambda: b'tried again' in log.read_bytes())
+        settings.write_bytes(whole)
+        wait_for(lambda: is_serving(deployment))
+
+    def test_stop_meanwhile(self, deployment: PlatformDeployment) -> None:
+        """Guards against an error as the end of a host told to stop."""
+        deployment.processes.kill(HOST)
+        settings = deployment.directory / f'{HOST}.json'
+        log = deployment.directory / f'{HOST}.log'
+        settings.write_bytes(b'{')
+        deployment.run_host(HOST, HOST_MODULE)
+        wait_for(lambda: b'tried again' in log.read_bytes())
+        process = deployment.processes.running[HOST]
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
