Drop a message between hosts that cannot be read, applied or sent

Cause: the task that receives messages expected two types of errors from the decoder and none from the handlers; nested values raise RecursionError, and a handler may fail on what a record holds. Each of these ended the task, and until lately the host.

Change: one guard around the decoder, one around the handler, one around the encoder; the message is dropped, counted and logged, and the next one taken.

--- a/teaselcove/messages.py
+++ b/teaselcove/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from teaselcove.decoding import decoding
 from teaselcove.errors import CodecError
 from teaselcove.ids import HostId, Incarnation
 from teaselcove.registry import Registry
@@ -59,17 +60,13 @@
     """
     if len(payload) > MAX_MESSAGE_BYTES:
         raise CodecError(f'message of {len(payload)} bytes is too large')
-    try:
+    with decoding('message'):
         tag, raw = decoder.decode(payload)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise CodecError(str(error)) from error
     struct = message_types.entries.get(tag)
     if struct is None:
         raise CodecError(f'unknown message tag {tag!r}')
-    try:
+    with decoding(tag):
         return msgspec.msgpack.decode(raw, type=struct)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise CodecError(f'{tag}: {error}') from error
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -83,7 +80,5 @@
     Raises:
         CodecError: If the payload is not an envelope.
     """
-    try:
+    with decoding('envelope'):
         return envelope_decoder.decode(payload)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise CodecError(str(error)) from error
--- a/teaselcove/transport.py
+++ b/teaselcove/transport.py
@@ -17,6 +17,7 @@
 from zmq.utils import z85
 
 from teaselcove import messages
+from teaselcove.decoding import describe
 from teaselcove.errors import CodecError
 from teaselcove.events import HostsListed, PeerMessageReceived
 from teaselcove.ids import HostId, Incarnation
@@ -34,6 +35,7 @@
     """Message and byte counts since the start.
 
     Attributes:
+        failed: Received messages whose handler failed.
         sent_bytes_by_type: Bytes by type of message and recipient.
     """
 
@@ -43,6 +45,7 @@
     received_bytes: int = 0
     dropped: int = 0
     malformed: int = 0
+    failed: int = 0
     sent_bytes_by_type: Counter[tuple[str, HostId]] = msgspec.field(
         default_factory=Counter
     )
@@ -135,7 +138,25 @@
                 log.warning('dropped a malformed message: %s', error)
                 continue
             if event is not None:
-                self.receive(event)
+                self.deliver(event)
+
+    def deliver(self, event: PeerMessageReceived) -> None:
+        """Passes a message on; one that fails must not keep back others."""
+        try:
+            self.receive(event)
+        except Exception as error:
+            self.counters.failed += 1
+            log.error(
+                'message-failed',
+                exc_info=error,
+                extra={
+                    'figures': {
+                        'peer': event.sender,
+                        'type': type(event.message).__name__,
+                        'why': describe(error),
+                    }
+                },
+            )
 
     def decode(self, payload: bytes) -> PeerMessageReceived | None:
         """Decodes a payload; returns None if it is for another host."""
@@ -176,19 +197,24 @@
         return socket
 
     def send(self, host: HostId, body: Any) -> None:
-        """Sends a message; drops it if the link is missing, down or full."""
-        socket = self.socket_for(host)
+        """Sends a message; drops it if that is not possible.
+
+        The link may be missing, down or full, or the message or the address of
+        the host may hold what another process has written wrongly.
+        """
+        try:
+            payload = self.encode(host, body)
+        except (OverflowError, ValueError, TypeError) as error:
+            self.drop(host, body, error)
+            return
+        try:
+            socket = self.socket_for(host)
+        except zmq.ZMQError as error:
+            self.drop(host, body, error)
+            return
         if socket is None:
             self.counters.dropped += 1
             return
-        payload = messages.encode_envelope(
-            messages.Envelope(
-                self.settings.host,
-                self.incarnation,
-                host,
-                messages.encode(body),
-            )
-        )
         try:
             socket.send(payload, flags=zmq.NOBLOCK)
         except zmq.Again:
@@ -199,6 +225,31 @@
         kind = type(body).__name__
         self.counters.sent_bytes_by_type[kind, host] += len(payload)
 
+    def encode(self, host: HostId, body: Any) -> bytes:
+        """Returns a message with its envelope."""
+        return messages.encode_envelope(
+            messages.Envelope(
+                self.settings.host,
+                self.incarnation,
+                host,
+                messages.encode(body),
+            )
+        )
+
+    def drop(self, host: HostId, body: Any, error: Exception) -> None:
+        """Counts and logs a message that cannot be sent."""
+        self.counters.dropped += 1
+        log.error(
+            'message-unsendable',
+            extra={
+                'figures': {
+                    'peer': host,
+                    'type': type(body).__name__,
+                    'why': describe(error),
+                }
+            },
+        )
+
     def close(self) -> None:
         """Closes all sockets."""
         for socket in self.links.values():
