Let the soak judge each end of a host's process

Change: `soak/host_processes.py` watches all hosts and records each end that the soak has not caused, each stop that does not end with 0, and memory over the platform's limit. Reloads come in series, also while a host starts or stops (from when its interpreter can handle a signal). New faults: an entry of another writer, and a port that another program holds at a restart. A planted fault for it is in soak/planted.py.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -55,6 +55,19 @@
     end: float
 
 
+class OwnEnd(msgspec.Struct, frozen=True):
+    """End of a host's process that the soak has not caused.
+
+    Attributes:
+        code: Exit code, negative for a signal; None if it did not end in time
+            after a request to stop.
+    """
+
+    host: str
+    code: int | None
+    at: float
+
+
 class Breach(msgspec.Struct, frozen=True):
     """A broken promise.
 
@@ -90,6 +103,7 @@
     drain_s: float = 2
     quota_window_s: float = 5
     quota_bounds: dict[str, float] = msgspec.field(default_factory=dict)
+    own_ends: list[OwnEnd] = msgspec.field(default_factory=list)
 
     def breaches(self) -> list[Breach]:
         """Returns all breaches of the promises."""
@@ -102,6 +116,7 @@
             *self.find_quota_overruns(),
             *self.find_late_runs(),
             *self.find_cut_requests(),
+            *self.find_own_ends(),
         ]
 
     def find_repeated_runs(self) -> list[Breach]:
@@ -209,3 +224,10 @@
             and sent.status is None
             and sent.attempt_id in ran
         ]
+
+    def find_own_ends(self) -> list[Breach]:
+        """Finds processes that did not start, or ended by themselves."""
+        return [
+            Breach('own-end', f'{end.host} with {end.code} at {end.at}')
+            for end in self.own_ends
+        ]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import signal
-import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -13,6 +12,7 @@
 from standins.backend import Fault
 from standins.log_store import StoreFault
 from standins.platform_deployment import call
+from teaselcove.platform.hosts import TOPIC as HOSTS_TOPIC
 from teaselcove.platform.records import CONFIGURATION_TOPIC, SERVERS_TOPIC
 from teaselcove.registry import Registry
 
@@ -31,6 +31,18 @@
         'server-link',
         'withdraw-key',
         'leaving-server',
+        'odd-entry',
+    )
+)
+# Entries of another writer: nested, cut off, with numbers out of range.
+ODD_ENTRIES = tuple(
+    text.encode()
+    for text in (
+        f'{{"service":"job","state":"ready","labels":{"[" * 4096}',
+        f'{"[" * 4096}{"]" * 4096}',
+        f'{{"service":"job","address":"127.0.0.1:{"9" * 5000}"}}',
+        f'{{"host":"other-writer","started_ms":{"9" * 400}}}',
+        '\x00',
     )
 )
 MIN_DURATION_S = 0.5
@@ -45,13 +57,13 @@
 @faults.register('kill-host')
 async def kill_host(soak: 'Soak', rng: random.Random) -> None:
     """Kills a host and starts it again."""
-    await soak.restart_host(rng.choice(soak.deployment.names), signal.SIGKILL)
+    await soak.hosts.restart(rng.choice(soak.deployment.names), signal.SIGKILL)
 
 
 @faults.register('stop-host')
 async def stop_host(soak: 'Soak', rng: random.Random) -> None:
     """Stops a host gracefully and starts it again."""
-    await soak.restart_host(rng.choice(soak.deployment.names), signal.SIGTERM)
+    await soak.hosts.restart(rng.choice(soak.deployment.names), signal.SIGTERM)
 
 
 @faults.register('pause-host')
@@ -195,11 +207,25 @@
         path.write_bytes(good[: len(good) // 2])
         await wait_random_duration(rng)
     path.write_bytes(good)
-    process = soak.deployment.processes.running.get(name)
-    if process is not None and time.monotonic() > soak.startup_ends_at.get(
-        name, 0
-    ):
-        process.send_signal(signal.SIGHUP)
+    await soak.hosts.send_reloads(name, rng)
+
+
+@faults.register('taken-port')
+async def take_port(soak: 'Soak', rng: random.Random) -> None:
+    """Lets another program hold a port of a host that starts again."""
+    name = rng.choice(soak.deployment.names)
+    await soak.hosts.restart_beside_taken_port(name, rng)
+
+
+@faults.register('odd-entry')
+async def write_odd_entry(soak: 'Soak', rng: random.Random) -> None:
+    """Writes an entry to the store that no host or server writes."""
+    topic = rng.choice((CONFIGURATION_TOPIC, SERVERS_TOPIC, HOSTS_TOPIC))
+    target = f'/record?topic={topic}&key=other-writer'
+    store = soak.deployment.store
+    await asyncio.to_thread(
+        call, store, 'PUT', target, {}, rng.choice(ODD_ENTRIES)
+    )
 
 
 @faults.register('leaving-server')
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -48,6 +48,12 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'own-end',
+        'ingress/held_signals.py',
+        'signal.pthread_sigmask(signal.SIG_BLOCK, HELD)',
+        'signal.pthread_sigmask(signal.SIG_BLOCK, ())',
+    ),
     Mutation(
         'at-most-once',
         'ingress/calls.py',
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,6 @@
 import json
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -23,10 +22,10 @@
 from soak.callers import Caller
 from soak.checks import Evidence, Run, Span, Withdrawal
 from soak.faults import SERVER_FAULTS, faults
+from soak.host_processes import HostProcesses
 from soak.link import Link
 from standins.backend import Fault
 from standins.platform_deployment import BOUNDS, PlatformDeployment, call
-from standins.processes import StartError
 
 # Seeds are spread over this many loopback networks, so that runs with different
 # seeds rarely share addresses.
@@ -49,9 +48,6 @@
 # Seconds after the end of a fault of the store or a host within which hosts
 # regain contact with the store.
 STORE_CONTACT_S = 3
-STOP_TIMEOUT_S = 8
-# Seconds after the restart of a host in which it is not told to reload.
-START_GRACE_S = 3
 GRACE_S = BOUNDS['graceS']
 
 
@@ -62,11 +58,8 @@
         evidence: Observations that are checked for broken promises.
         keys: Organisation of each valid key.
         version: Newest version of the configuration.
-        startup_ends_at: Monotonic time at which each restarted host counts as
-            started.
-        stop_requested_at: Monotonic time of the request to stop, for each host
-            that is stopping.
-        busy: Processes that a fault restarts or suspends now.
+        hosts: Processes of the hosts; its `busy` also names the servers that a
+            fault restarts or suspends now.
         injected: Names of the faults so far, in order.
     """
 
@@ -100,9 +93,7 @@
         }
         self.version = 1
         self.configuration = self.next_configuration()
-        self.startup_ends_at: dict[str, float] = {}
-        self.stop_requested_at: dict[str, float] = {}
-        self.busy: set[str] = set()
+        self.hosts = HostProcesses(self.deployment, self.evidence)
         self.injected: list[str] = []
 
     def make_links(self, targets: dict[str, str], last: int) -> dict[str, Link]:
@@ -187,9 +178,10 @@
                 group.create_task(caller.run(MEAN_REQUEST_INTERVAL_S))
                 for caller in self.make_callers()
             ]
+            watching = group.create_task(self.hosts.watch())
             await self.inject_faults(seconds)
             await asyncio.sleep(SETTLE_S)
-            for task in callers:
+            for task in (watching, *callers):
                 task.cancel()
         await self.collect_all_runs()
         return self.evidence
@@ -207,7 +199,7 @@
                 key,
                 self.caller_links,
                 self.evidence,
-                self.stop_requested_at,
+                self.hosts.stop_requested_at,
                 self.random.getrandbits(32),
             )
             for key, organisation in self.keys.items()
@@ -251,31 +243,11 @@
         )
         return links[rng.choice(sorted(links))]
 
-    async def restart_host(
-        self, name: str, stop_signal: signal.Signals
-    ) -> None:
-        """Stops a host with a signal and starts it again."""
-        if name in self.busy:
-            return
-        self.busy.add(name)
-        process = self.deployment.processes.running.pop(name)
-        if stop_signal is signal.SIGTERM:
-            self.stop_requested_at[name] = time.monotonic()
-        process.send_signal(stop_signal)
-        with suppress(subprocess.TimeoutExpired):
-            await asyncio.to_thread(process.wait, STOP_TIMEOUT_S)
-        process.kill()
-        self.stop_requested_at.pop(name, None)
-        self.startup_ends_at[name] = time.monotonic() + START_GRACE_S
-        with suppress(StartError):
-            await asyncio.to_thread(self.deployment.start_host, name)
-        self.busy.discard(name)
-
     async def restart_server(self, name: str) -> None:
         """Kills a backend server and starts it again."""
-        if name in self.busy or name in self.evidence.leaving:
+        if name in self.hosts.busy or name in self.evidence.leaving:
             return
-        self.busy.add(name)
+        self.hosts.busy.add(name)
         await self.collect_runs(name)
         self.deployment.processes.kill(name)
         await asyncio.sleep(self.random.uniform(0, 2))
@@ -284,23 +256,23 @@
         await asyncio.to_thread(
             self.deployment.start_server, name, address, zone
         )
-        self.busy.discard(name)
+        self.hosts.busy.discard(name)
 
     async def pause(self, name: str, rng: random.Random) -> None:
         """Suspends a process for a while."""
         process = self.deployment.processes.running.get(name)
-        if process is None or name in self.busy:
+        if process is None or name in self.hosts.busy:
             return
         if name in self.evidence.leaving:
             # Requests that it got within its drain time would run after it.
             return
-        self.busy.add(name)
+        self.hosts.busy.add(name)
         process.send_signal(signal.SIGSTOP)
         try:
             await asyncio.sleep(rng.uniform(0.3, 4))
         finally:
             process.send_signal(signal.SIGCONT)
-            self.busy.discard(name)
+            self.hosts.busy.discard(name)
 
     async def set_fault(self, address: str, fault: object) -> None:
         """Sets the fault of a stand-in, if it can be reached."""
@@ -331,7 +303,7 @@
         """Lets a server announce that it leaves, if more than half stay."""
         names = sorted(self.deployment.servers)
         staying = [name for name in names if name not in self.evidence.leaving]
-        if len(staying) <= len(names) // 2 or staying[0] in self.busy:
+        if len(staying) <= len(names) // 2 or staying[0] in self.hosts.busy:
             return
         name = staying[0]
         self.evidence.leaving[name] = float('inf')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 import pytest
 
 from soak import faults as soak_faults
-from soak.checks import Evidence, Run, Sent, Span, Withdrawal
+from soak.checks import Evidence, OwnEnd, Run, Sent, Span, Withdrawal
 from soak.planted import MUTATIONS, Mutation, apply_mutation
 from standins.backend import Fault
 
@@ -132,6 +132,11 @@
         cut = sent(status=None, planned_stop=True)
         assert promises(Evidence([cut], [RUN])) == {'stop'}
 
+    def test_own_end(self) -> None:
+        """Guards against a check that misses processes that ended."""
+        evidence = Evidence([sent()], [RUN], own_ends=[OwnEnd('host-0', -1, 9)])
+        assert promises(evidence) == {'own-end'}
+
 
 class SoakWithLeavingServer:
     """A soak whose only server has announced that it leaves."""
@@ -187,6 +192,7 @@
             'rate',
             'leaving',
             'stop',
+            'own-end',
         }
 
 
