Finish answers in write buffers and requests already read before a stop

Cause: the stop waited for the tasks of requests only. A task ends when its answer is in the transport's write buffer, which is dropped as the event loop ends. And each answer of a stopping host closed its connection, although the listener had read the next request.

Change: a listener is busy while any connection has a request at work or bytes in its write buffer; an answer closes the connection only if no request was read behind it. The bound of the stop is unchanged.

--- a/teaselcove/ingress/listener.py
+++ b/teaselcove/ingress/listener.py
@@ -96,9 +96,23 @@
             self.refusal_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             raise HeadersTooLargeError(size)
         self.scope['raw_target'] = self.url
+        self.scope['has_next_request'] = self.has_next_request
         self.timeout_keep_alive = limits.idle_timeout
         super().on_headers_complete()
 
+    def has_next_request(self) -> bool:
+        """Returns whether a request was read behind the one being served."""
+        return bool(self.pipeline)
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a request or a part of an answer is still to be handled.
+
+        The task of a request ends when its answer is in the write buffer.
+        """
+        answering = self.cycle is not None and not self.cycle.response_complete
+        return answering or self.transport.get_write_buffer_size() > 0
+
     def send_400_response(self, msg: str) -> None:  # noqa: WPS114
         """Refuses a request that cannot be parsed."""
         self.refuse_request(self.refusal_status)
@@ -191,5 +205,7 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in flight."""
-        return bool(self.state.tasks)
+        """Whether a request is in flight or an answer still being sent."""
+        return bool(self.state.tasks) or any(
+            connection.is_unfinished for connection in self.state.connections
+        )
--- a/teaselcove/ingress/server.py
+++ b/teaselcove/ingress/server.py
@@ -158,10 +158,12 @@
             log.info('caller-gone', extra={'figures': {'request': attempt_id}})
             return
         except (RefusedError, BadRequestError) as error:
-            await self.refuse(send, error.refusal, attempt_id, arrived_at)
+            await self.refuse(
+                scope, send, error.refusal, attempt_id, arrived_at
+            )
             return
         await self.reply(
-            send, answer.status, response_headers(answer), answer.body
+            scope, send, answer.status, response_headers(answer), answer.body
         )
         self.log_answer(arrival, answer, arrived_at)
 
@@ -260,7 +262,12 @@
         return b''.join(parts)
 
     async def refuse(
-        self, send: Send, refusal: Refusal, attempt_id: str, arrived_at: float
+        self,
+        scope: Scope,
+        send: Send,
+        refusal: Refusal,
+        attempt_id: str,
+        arrived_at: float,
     ) -> None:
         """Sends, logs and counts a refusal."""
         status = status_of(refusal)
@@ -288,14 +295,23 @@
                 }
             },
         )
-        await self.reply(send, status, headers, body)
+        await self.reply(scope, send, status, headers, body)
 
     async def reply(
-        self, send: Send, status: int, headers: HeaderPairs, body: bytes
+        self,
+        scope: Scope,
+        send: Send,
+        status: int,
+        headers: HeaderPairs,
+        body: bytes,
     ) -> None:
-        """Sends a response with a content length."""
+        """Sends a response with a content length.
+
+        A host that stops closes the connection after it, unless it has already
+        read the next request.
+        """
         pairs = [*headers, (b'content-length', str(len(body)).encode())]
-        if self.daemon.draining:
+        if self.daemon.draining and not scope['has_next_request']():
             pairs.append((b'connection', b'close'))
         await send(
             {'type': 'http.response.start', 'status': status, 'headers': pairs}
