Bound the memory of answers by one budget of the process, and their framing

Cause: the limit was for the body of one answer and counted what the peer sent, not what the host kept: a chunk of two bytes took about 28 times as much in a list of objects. Heads, interim answers, chunk extensions, trailers and answers of other requests were not limited until they ended, several answers at once not at all, and a written answer stayed in a write buffer.

Change: bodies grow in one buffer. Bytes besides the body may be 256 KB and a quarter of the body; more end the connection. All answers that are read or passed on, of servers and of the store, count against `answer_memory_share` (0.15); beyond it the largest unfinished one gives way, so a sound answer beside endless ones is read. Answers are written in parts of 64 KB, and count until the last part is written. Bodies of callers are kept in one buffer too, and fields of their trailers dropped.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 
 from soak.checks import Evidence, Sent
 from soak.link import Link
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.http_connection import (
     ConnectionBrokenError,
     HttpConnection,
@@ -116,6 +117,7 @@
             CONNECT_TIMEOUT_S,
             USER_TIMEOUT_MS,
             MAX_ANSWER_BYTES,
+            AnswerMemory(),
         )
         self.opened_at[connection] = time.monotonic()
         return connection
--- a/teaselcove/http_connection.py
+++ b/teaselcove/http_connection.py
@@ -13,10 +13,15 @@
 import httptools
 import msgspec
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.http_fields import BODYLESS_STATUS, Headers
 
 FIRST_FINAL_STATUS = 200
 MAX_HEADER_BYTES = 64 * 1024
+# Bytes of a response besides its body: headers, interim responses, chunk sizes
+# and extensions, trailers. They may grow by a share of the body.
+MAX_FRAMING_BYTES = 256 * 1024
+FRAMING_SHARE = 0.25
 # Detects dead peers while waiting for a response: after one second without
 # data, a probe is sent each second; the third one ends the connection.
 KEEPALIVE_S = 1
@@ -39,7 +44,7 @@
         super().__init__(problem)
 
 
-class RawAnswer(msgspec.Struct):
+class RawAnswer(msgspec.Struct, weakref=True):
     """A complete response.
 
     Attributes:
@@ -67,8 +72,7 @@
         self.status: int | None = None
         self.headers: list[tuple[str, str]] = []
         self.header_bytes = 0
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
         self.ends_with_connection = False
 
 
@@ -80,10 +84,15 @@
         idle_since: When it was last used, on the event loop's clock.
         idle_limit: Idle timeout in seconds announced by the server, or None.
         request_count: Number of requests sent.
+        received: Bytes received since the last request.
+        body_bytes: Those of them that belong to bodies.
     """
 
-    def __init__(self, max_answer_bytes: int) -> None:
+    def __init__(self, max_answer_bytes: int, memory: AnswerMemory) -> None:
         self.max_answer_bytes = max_answer_bytes
+        self.memory = memory
+        self.received = 0
+        self.body_bytes = 0
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.partial: PartialAnswer | None = None
@@ -122,6 +131,8 @@
         self.echo = echo
         self.bodyless = bodyless
         self.answer_started = False
+        self.received = 0
+        self.body_bytes = 0
         self.request_count += 1
         self.waiter = asyncio.get_running_loop().create_future()
         assert self.transport is not None  # noqa: S101
@@ -133,6 +144,7 @@
             raise
         finally:
             self.waiter = None
+            self.memory.drop(self)
 
     @property
     def is_usable(self) -> bool:
@@ -152,6 +164,7 @@
             self.close()
             return
         self.answer_started = True
+        self.received += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -160,6 +173,9 @@
         except httptools.HttpParserUpgrade:
             self.must_close = True
             self.fail('the server switched protocols')
+        framing = self.received - self.body_bytes
+        if framing > MAX_FRAMING_BYTES + FRAMING_SHARE * self.body_bytes:
+            self.give_up('the response has too many bytes besides its body')
 
     def eof_received(self) -> bool:
         """Completes a response that is delimited by the connection's end."""
@@ -182,6 +198,18 @@
                 ConnectionBrokenError(problem, status, self.answer_started)
             )
 
+    def give_up(self, problem: str) -> None:
+        """Ends the exchange and the connection, and drops what was read."""
+        self.must_close = True
+        self.fail(problem)
+        self.partial = None
+        self.memory.drop(self)
+        self.close()
+
+    def give_way(self) -> None:
+        """Drops a response because too many bytes of responses are held."""
+        self.give_up('no memory is left for the response')
+
     def on_message_begin(self) -> None:
         """Starts a response; an unexpected one prevents reuse."""
         waiter = self.waiter
@@ -196,8 +224,7 @@
             return
         partial.header_bytes += len(name) + len(value)
         if partial.header_bytes > MAX_HEADER_BYTES:
-            self.must_close = True
-            self.fail('the response headers are too large')
+            self.give_up('the response headers are too large')
             return
         partial.headers.append(
             (
@@ -227,13 +254,12 @@
         partial = self.partial
         if partial is None:
             return
-        partial.size += len(body)
-        if partial.size > self.max_answer_bytes:
-            self.must_close = True
-            self.fail('the response body is too large')
-            self.close()
+        self.body_bytes += len(body)
+        if self.body_bytes > self.max_answer_bytes:
+            self.give_up('the response body is too large')
             return
-        partial.parts.append(body)
+        self.memory.add(self, len(body))
+        partial.body += body
 
     def on_message_complete(self) -> None:
         """Completes a response with a length or chunked body."""
@@ -249,7 +275,7 @@
         answer = RawAnswer(
             partial.status or 0,
             tuple(partial.headers),
-            b''.join(partial.parts),
+            bytes(partial.body),
             reusable,
         )
         if not reusable:
@@ -261,6 +287,7 @@
             # A late response to an earlier request; ours may follow.
             self.must_close = True
             return
+        self.memory.finish(self, answer)
         waiter.set_result(answer)
 
     def answers_other_request(self, answer: RawAnswer) -> bool:
@@ -276,6 +303,7 @@
     timeout: float,
     user_timeout_ms: int,
     max_answer_bytes: int,
+    memory: AnswerMemory,
     local_ip: str | None = None,
 ) -> HttpConnection:
     """Opens a connection.
@@ -286,6 +314,7 @@
         user_timeout_ms: Milliseconds after which unacknowledged data closes
             the connection, also while it only waits for a response.
         max_answer_bytes: Size limit of a response body.
+        memory: Counts the bytes of all responses.
         local_ip: Address to connect from.
 
     Raises:
@@ -297,7 +326,7 @@
     local = None if local_ip is None else (local_ip, 0)
     async with asyncio.timeout(timeout):
         transport, connection = await loop.create_connection(
-            lambda: HttpConnection(max_answer_bytes),
+            lambda: HttpConnection(max_answer_bytes, memory),
             host,
             int(port),
             local_addr=local,
--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.entities import Server
 from teaselcove.events import AttemptResult
 from teaselcove.http_connection import (
@@ -75,14 +76,18 @@
     """Pool of idle connections to backend servers.
 
     Attributes:
+        memory: Counts the bytes of all responses.
         limits: How long connections may stay idle.
         stale_at: When each server last reset an idle connection.
         connections_opened: Connections opened since the start.
     """
 
-    def __init__(self, local_ip: str, max_answer_bytes: int) -> None:
+    def __init__(
+        self, local_ip: str, max_answer_bytes: int, memory: AnswerMemory
+    ) -> None:
         self.local_ip = local_ip
         self.max_answer_bytes = max_answer_bytes
+        self.memory = memory
         self.idle: defaultdict[BackendServerId, list[HttpConnection]] = (
             defaultdict(list)
         )
@@ -149,6 +154,7 @@
             CONNECT_TIMEOUT_S,
             USER_TIMEOUT_MS,
             self.max_answer_bytes,
+            self.memory,
             self.local_ip,
         )
 
--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from teaselcove import errors
+from teaselcove import answer_memory, errors
 from teaselcove.ids import Instant, ZoneName
 from teaselcove.ingress import held_signals, listener, members, services
 from teaselcove.ingress.backend import BackendPool
@@ -89,7 +89,12 @@
         self.body_memory = BodyMemory(
             int(boot.memory_bytes * settings.memory_share)
         )
-        self.pool = BackendPool(boot.ip, settings.max_answer_bytes)
+        self.answer_memory = answer_memory.AnswerMemory(
+            int(boot.memory_bytes * settings.answer_memory_share)
+        )
+        self.pool = BackendPool(
+            boot.ip, settings.max_answer_bytes, self.answer_memory
+        )
         self.gossip = Gossip(
             self.kernel, self.own_record, transport_settings(boot, peer_port)
         )
@@ -165,6 +170,8 @@
                 'backend_connections_opened': self.pool.connections_opened,
                 'store_calls': sum(self.store.calls.values()),
                 'store_failures': self.store.failures,
+                'answer_bytes_held': self.answer_memory.held,
+                'answers_given_way': self.answer_memory.given_way,
                 'log_lines_left_out': self.structured_log.handler.total_dropped,
                 **self.gossip.sent_bytes(),
                 **labelled('task_failures', 'task', self.supervisor.failures),
@@ -180,7 +187,7 @@
         """Serves until a stop is requested and requests have finished."""
         self.handle_signals()
         self.service('members').start(self.own_record, boot_time())
-        self.store = StoreClient(self.boot.store_address)
+        self.store = StoreClient(self.boot.store_address, self.answer_memory)
         self.registration = Registration(
             self.kernel, self.store, self.own_record
         )
--- a/teaselcove/ingress/listener.py
+++ b/teaselcove/ingress/listener.py
@@ -80,6 +80,11 @@
             HTTPStatus.REQUEST_TIMEOUT,
         )
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header; the fields of a trailer are dropped."""
+        if self.header_timer is not None:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Checks the size of the headers and adds the target to the scope.
 
--- a/teaselcove/ingress/server.py
+++ b/teaselcove/ingress/server.py
@@ -41,6 +41,8 @@
 )
 DROPPED_RESPONSE_HEADERS = HOP_BY_HOP | {'date'}
 CRASHING_REQUEST_STATUS = 503
+# Bytes of a body that are written at a time.
+PART_BYTES = 64 * 1024
 OK_STATUS = 200
 # Decodes and encodes every byte of headers and targets without loss.
 HEADER_ENCODING = 'latin-1'
@@ -242,24 +244,23 @@
         """
         memory = self.daemon.body_memory
         limit = self.daemon.max_body_bytes()
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         more = True
         try:
             while more:
                 message = await receive()
                 if message['type'] == 'http.disconnect':
                     raise CallerDisconnectedError
-                parts.append(message.get('body', b''))
-                size += len(parts[-1])
-                memory.reserve(len(parts[-1]))
-                if size > limit:
+                part = message.get('body', b'')
+                body += part
+                memory.reserve(len(part))
+                if len(body) > limit:
                     raise BadRequestError(not_run(Reason.TOO_LARGE))
                 more = message.get('more_body', False)
         except (BadRequestError, CallerDisconnectedError):
-            memory.release(size)
+            memory.release(len(body))
             raise
-        return b''.join(parts)
+        return bytes(body)
 
     async def refuse(
         self,
@@ -316,7 +317,16 @@
         await send(
             {'type': 'http.response.start', 'status': status, 'headers': pairs}
         )
-        await send({'type': 'http.response.body', 'body': body})
+        # In parts, each sent once the one before it has left the write buffer.
+        last = max(1, len(body)) + PART_BYTES
+        for end in range(PART_BYTES, last, PART_BYTES):
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': body[end - PART_BYTES : end],
+                    'more_body': end < len(body),
+                }
+            )
 
 
 def parse_deadline(text: str | None) -> float | None:
--- a/teaselcove/ingress/settings.py
+++ b/teaselcove/ingress/settings.py
@@ -23,6 +23,8 @@
         max_waiting: Maximum number of requests that wait for a free slot of
             a backend server.
         memory_share: Share of memory for buffered request bodies.
+        answer_memory_share: Share of memory for responses that are read or
+            passed on.
         max_answer_bytes: Size limit of a response body.
         log_lines_per_second: Log lines of one kind; more are dropped and
             counted.
@@ -35,6 +37,7 @@
     server_read_interval: Seconds = 0.9
     max_waiting: Count = 256
     memory_share: Share = 0.25
+    answer_memory_share: Share = 0.15
     max_answer_bytes: Count = 16 * 1024 * 1024
     log_lines_per_second: Count = 100
     metrics_port: Port | None = None
--- a/teaselcove/platform/store.py
+++ b/teaselcove/platform/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.errors import (
     AppendUnknownError,
     CodecError,
@@ -135,14 +136,16 @@
     """Client of the platform's store.
 
     Attributes:
+        memory: Counts the bytes of all responses.
         idle: Idle connections.
         calls: Number of calls by name since the start.
         failures: Number of failed calls since the start.
         era: Latest era of a response.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, memory: AnswerMemory) -> None:
         self.address = address
+        self.memory = memory
         self.era = Era(0)
         self.idle: list[HttpConnection] = []
         self.calls: dict[str, int] = {}
@@ -207,6 +210,7 @@
                 CONNECT_TIMEOUT_S,
                 USER_TIMEOUT_MS,
                 MAX_ANSWER_BYTES,
+                self.memory,
             )
         except (OSError, TimeoutError) as error:
             self.failures += 1
--- a/tests/scripted_servers.py
+++ b/tests/scripted_servers.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import Any
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.entities import Server
 from teaselcove.http_fields import CallerRequest
 from teaselcove.ingress.backend import (
@@ -138,7 +139,7 @@
     """Cancels a running attempt, as when the caller disconnects."""
     listener = await asyncio.start_server(server, IP, 0)
     port = listener.sockets[0].getsockname()[1]
-    pool = BackendPool(IP, MAX_ANSWER)
+    pool = BackendPool(IP, MAX_ANSWER, AnswerMemory())
     work = run_attempt(pool, Server('i-1', f'{IP}:{port}', 'a'), outgoing(), 5)
     task = asyncio.get_running_loop().create_task(work)
     await server.request_received.wait()
@@ -157,7 +158,7 @@
     listener = await asyncio.start_server(script, IP, 0)
     port = listener.sockets[0].getsockname()[1]
     server = Server('i-1', f'{IP}:{port}', 'a')
-    pool = BackendPool(IP, MAX_ANSWER)
+    pool = BackendPool(IP, MAX_ANSWER, AnswerMemory())
     ends = []
     for request in requests:
         ends.append(await run_attempt(pool, server, request, time_left))
--- a/tests/test_ingress_connection.py
+++ b/tests/test_ingress_connection.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.entities import Server
 from teaselcove.events import AttemptResult
 from teaselcove.http_connection import HttpConnection
@@ -186,7 +187,7 @@
         with socket.socket() as probe:
             probe.bind((IP, 0))
             address = f'{IP}:{probe.getsockname()[1]}'
-        pool = BackendPool(IP, MAX_ANSWER)
+        pool = BackendPool(IP, MAX_ANSWER, AnswerMemory())
         server = Server('i-1', address, 'a')
         end = asyncio.run(run_attempt(pool, server, outgoing(), 1))
         assert end.result is AttemptResult.NOT_SENT
--- a/tests/test_ingress_requests.py
+++ b/tests/test_ingress_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.errors import Outcome, Reason, Refusal
 from teaselcove.ids import Instant
 from teaselcove.ingress import requests as requests_module
@@ -73,6 +74,11 @@
     return caught.value.refusal
 
 
+def make_pool() -> BackendPool:
+    """Returns a pool without connections."""
+    return BackendPool(IP, 1000, AnswerMemory())
+
+
 class CurrentList:
     """A list of servers that is never too old."""
 
@@ -148,7 +154,10 @@
         adopt(kernel, configuration(), boot_time())
         add_servers(kernel, 1, boot_time())
         requests = Requests(
-            kernel, BackendPool(IP, 1000), OutdatedList(kernel), None
+            kernel,
+            make_pool(),
+            OutdatedList(kernel),
+            None,
         )
         chosen = asyncio.run(wait_while_a_server_leaves(kernel, requests))
         assert chosen.known.server.id == 's1'
@@ -160,7 +169,10 @@
         adopt(kernel, configuration(), boot_time())
         add_servers(kernel, 1, boot_time())
         requests = Requests(
-            kernel, BackendPool(IP, 1000), OutdatedList(kernel), None
+            kernel,
+            make_pool(),
+            OutdatedList(kernel),
+            None,
         )
         call = accepted(kernel, '/write/1', boot_time())
         chosen = asyncio.run(requests.acquire_slot(call))
@@ -172,7 +184,10 @@
         adopt(kernel, configuration(), boot_time())
         add_servers(kernel, 2, boot_time())
         requests = Requests(
-            kernel, BackendPool(IP, 1000), OutdatedList(kernel), None
+            kernel,
+            make_pool(),
+            OutdatedList(kernel),
+            None,
         )
         hedges = asyncio.run(hedge_after_a_server_left(kernel, requests))
         assert not hedges
@@ -186,7 +201,7 @@
         kernel = make_kernel()
         adopt(kernel, configuration(), boot_time())
         add_servers(kernel, 1, boot_time())
-        requests = Requests(kernel, BackendPool(IP, 1000), CurrentList(), None)
+        requests = Requests(kernel, make_pool(), CurrentList(), None)
         refusal = asyncio.run(wait_while_key_is_withdrawn(kernel, requests))
         assert refusal.reason is Reason.BAD_KEY
         assert kernel.service('balance').in_flight == {'s0': 3}
@@ -200,7 +215,7 @@
         kernel = make_kernel()
         adopt(kernel, configuration())
         add_servers(kernel, 1)
-        requests = Requests(kernel, BackendPool(IP, 1000), None, None)
+        requests = Requests(kernel, make_pool(), None, None)
         asyncio.run(cancel_at_once(kernel, requests))
         assert kernel.service('balance').in_flight == {}
         assert not kernel.service('health').running
@@ -214,7 +229,10 @@
         adopt(kernel, configuration(), boot_time())
         add_servers(kernel, 1, boot_time())
         requests = Requests(
-            kernel, BackendPool(IP, 1000), HangingList(kernel), None
+            kernel,
+            make_pool(),
+            HangingList(kernel),
+            None,
         )
         asyncio.run(cancel_while_servers_are_read(kernel, requests))
         assert kernel.service('balance').in_flight == {}
@@ -266,7 +284,7 @@
         kernel = make_kernel()
         adopt(kernel, configuration(), boot_time())
         add_servers(kernel, 1, boot_time())
-        pool = BackendPool(IP, max_answer_bytes=1000)
+        pool = make_pool()
         return Requests(kernel, pool, CurrentList(), None)
 
     @pytest.mark.parametrize('play', [stop_while_waiting, arrive_late])
--- a/tests/test_ingress_restored.py
+++ b/tests/test_ingress_restored.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.errors import HistoryLostError, StoreUnavailableError
 from teaselcove.ids import Era, Instant, Version
 from teaselcove.ingress.clock import boot_time
@@ -192,7 +193,7 @@
 
     def test_pages_of_two_eras(self) -> None:
         """Guards against a list that was never in the store."""
-        client = StoreClient('127.0.0.1:1')
+        client = StoreClient('127.0.0.1:1', AnswerMemory())
         answers = [
             (NewestReply([NewestItem('a', 1, 'e30=')], True, 9), BEFORE),
             (NewestReply([NewestItem('b', 2, 'e30=')], False, 5), AFTER),
--- a/tests/test_ingress_store.py
+++ b/tests/test_ingress_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.errors import StoreUnavailableError
 from teaselcove.ids import Instant
 from teaselcove.platform import store as store_module
@@ -56,7 +57,7 @@
     silenced = SilencedStore()
     server = await asyncio.start_server(silenced.answer, IP, 0)
     port = server.sockets[0].getsockname()[1]
-    client = StoreClient(f'{IP}:{port}')
+    client = StoreClient(f'{IP}:{port}', AnswerMemory())
     reads = [client.read('t', 0, Instant(0)) for _ in range(CALLS)]
     await asyncio.gather(*reads)
     silenced.silent = silenced.open
