Follow Server-Leaving and Retry-After in the answers of servers

Change: the service `announcements` keeps both for the process of the server that said it (its start tells it from one that starts again under the same id). Picks for new, waiting and repeated requests and for hedges go by it.

--- a/teaselcove/ingress/backend.py
+++ b/teaselcove/ingress/backend.py
@@ -16,6 +16,7 @@
 )
 from teaselcove.http_fields import MS_PER_S, CallerRequest, parse_count
 from teaselcove.ids import BackendServerId, Instant, OrganisationId
+from teaselcove.ingress.announcements import Announcement
 from teaselcove.ingress.clock import boot_time
 from teaselcove.ingress.idle_limits import IdleLimits
 from teaselcove.platform import headers as names
@@ -32,7 +33,10 @@
 # A server that resets another connection within this time is failing.
 STALE_REPEAT_S = 2
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 KEEP_ALIVE = 'keep-alive'
+# Results whose response is of the server that the request was sent to.
+OWN_ANSWERS = frozenset((AttemptResult.COMPLETE, AttemptResult.SHED))
 # Results by which a server states that it has not run a request.
 REFUSED = frozenset((AttemptResult.SHED, AttemptResult.MISDIRECTED))
 
@@ -66,6 +70,19 @@
             return None
         return names.decode_server_limit(self.answer.header(names.SERVER_LIMIT))
 
+    @property
+    def announcement(self) -> Announcement:
+        """What the response says of the server that gave it."""
+        if self.answer is None or self.result not in OWN_ANSWERS:
+            return Announcement()
+        pause = None
+        if self.answer.status == UNAVAILABLE_STATUS:
+            pause = names.decode_retry_after(
+                self.answer.header(names.RETRY_AFTER)
+            )
+        leaving = self.answer.header(names.SERVER_LEAVING) == names.LEAVES
+        return Announcement(leaving, pause)
+
     @property
     def result_for_health(self) -> AttemptResult:
         """Result to record for the server's health: cancelled if stale."""
--- a/teaselcove/ingress/balance.py
+++ b/teaselcove/ingress/balance.py
@@ -99,6 +99,8 @@
         """Returns whether a server can take another attempt."""
         if self.load(known.server.id) >= known.server.slots + QUEUED_AT_SERVER:
             return False
+        if self.kernel.service('announcements').is_paused(known, now):
+            return False
         limits = self.kernel.service('server-limits')
         return limits.allows(known.server.id, now)
 
--- a/teaselcove/ingress/discovery.py
+++ b/teaselcove/ingress/discovery.py
@@ -289,13 +289,15 @@
 
     def usable(self, service: ServiceId, now: Instant) -> list[KnownServer]:
         """Returns the servers of a service that may get new requests."""
+        announcements = self.kernel.service('announcements')
         return [
             known
             for known in self.by_service.get(service, ())
-            if known.is_usable(now)
+            if announcements.allow_use(known, now)
         ]
 
     def is_usable(self, server_id: BackendServerId, now: Instant) -> bool:
         """Returns whether a server may get new requests."""
         known = self.servers.get(server_id)
-        return known is not None and known.is_usable(now)
+        announcements = self.kernel.service('announcements')
+        return known is not None and announcements.allow_use(known, now)
--- a/teaselcove/ingress/requests.py
+++ b/teaselcove/ingress/requests.py
@@ -12,6 +12,7 @@
 from teaselcove.ids import Instant
 from teaselcove.ingress.acceptance import Acceptance, Arrival
 from teaselcove.ingress.backend import (
+    OWN_ANSWERS,
     AttemptEnd,
     BackendPool,
     OutgoingRequest,
@@ -286,9 +287,13 @@
         if end.result is AttemptResult.COMPLETE:
             call.answer = end.answer
         failed = is_failure(end.result, end.status)
-        if end.result in {AttemptResult.COMPLETE, AttemptResult.SHED}:
+        now = boot_time()
+        self.service('announcements').record_answer(
+            pick.known, end.announcement, now
+        )
+        if end.result in OWN_ANSWERS:
             self.service('server-limits').record_answer(
-                server, end.limit, not failed, boot_time()
+                server, end.limit, not failed, now
             )
         if failed and not end.stale:
             call.exclude = call.exclude | {server}
--- a/teaselcove/ingress/services.py
+++ b/teaselcove/ingress/services.py
@@ -9,6 +9,7 @@
 
 SERVICE_MODULES = (
     'acceptance',
+    'announcements',
     'balance',
     'catalog',
     'discovery',
--- a/teaselcove/platform/headers.py
+++ b/teaselcove/platform/headers.py
@@ -23,6 +23,12 @@
 ANSWERING_SERVER = 'instance-id'
 # Requests per second that a backend server takes from all hosts together.
 SERVER_LIMIT = 'server-limit'
+# Set to 1 on all responses of a backend server that leaves.
+SERVER_LEAVING = 'server-leaving'
+LEAVES = '1'
+# Seconds for which a backend server that refuses with 503 wants no request from
+# the host that it answers.
+RETRY_AFTER = 'retry-after'
 # Set by the store on responses: how often it was restored from a copy.
 STORE_ERA = 'store-era'
 
@@ -47,6 +53,20 @@
     return None
 
 
+def decode_retry_after(text: str | None) -> float | None:
+    """Returns the seconds of a pause, or None if there is no valid one."""
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if seconds >= 0 and math.isfinite(seconds):
+        return seconds
+    log.warning('pause-unreadable', extra={'figures': {'text': text[:32]}})
+    return None
+
+
 def decode_store_era(text: str | None) -> Era | None:
     """Returns the era in an answer, or None if there is no valid one."""
     if text is None:
