Let a host that has just started confirm no key before it has heard another

Cause: the first read of a process confirmed the version that the store has, whatever the other hosts have in force. A confirmation holds for 4.5 s; that another host has a newer version stopped only later ones.

Change: a read confirms the configuration only once this host has heard another one, or 1.5 s after its start, or if the store knows no other host. If the one that is heard has a newer version, nothing is confirmed until that version is here. Until the first confirmation the host is not ready, and answers requests with a key by 503.

What remains: a host that hears first another one that started at the same moment.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -110,7 +110,7 @@
     def is_ready(self) -> bool:
         """Returns whether the host can serve requests."""
         has_servers = self.service('discovery').confirmed_at is not None
-        has_routes = self.service('catalog').version > 0
+        has_routes = self.service('catalog').confirmed_at is not None
         knows_enough = has_routes and has_servers
         return knows_enough and self.callers.is_open and not self.draining
 
@@ -186,7 +186,9 @@
     async def run(self) -> None:
         """Serves until a stop is requested and requests have finished."""
         self.handle_signals()
-        self.service('members').start(self.own_record, boot_time())
+        self.service('members').start(
+            self.own_record, boot_time(), joining=True
+        )
         self.store = StoreClient(self.boot.store_address, self.answer_memory)
         self.registration = Registration(
             self.kernel, self.store, self.own_record
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -163,20 +163,31 @@
 
     async def follow_configuration(self) -> None:
         """Reads new configurations until cancelled."""
-        topic = records.CONFIGURATION_TOPIC
         backoff = INITIAL_BACKOFF_S
         while True:
-            first = self.consumers[topic].offset is None
-            if not first and not self.reading.must_follow(boot_time()):
+            wait = self.poll_wait(boot_time())
+            if wait is None:
                 await asyncio.sleep(FOLLOW_CHECK_INTERVAL_S)
-                continue
-            wait = 0 if first else POLL_WAIT_S
-            if await self.read_configuration(wait):
+            elif await self.read_configuration(wait):
                 backoff = INITIAL_BACKOFF_S
             else:
                 await asyncio.sleep(backoff)
                 backoff = min(MAX_BACKOFF_S, 2 * backoff)
 
+    def poll_wait(self, now: Instant) -> float | None:
+        """Returns the seconds that a poll may wait, or None for no poll."""
+        first = self.consumers[records.CONFIGURATION_TOPIC].offset is None
+        if first or self.can_confirm_first(now):
+            return 0
+        return POLL_WAIT_S if self.reading.must_follow(now) else None
+
+    def can_confirm_first(self, now: Instant) -> bool:
+        """Returns whether a version can be confirmed that never was before."""
+        catalog = self.kernel.service('catalog')
+        unconfirmed = catalog.version > 0 and catalog.confirmed_at is None
+        knows_fleet = self.kernel.service('members').knows_fleet(now)
+        return unconfirmed and knows_fleet and not catalog.is_behind
+
     async def read_configuration(self, wait: float = 0) -> bool:
         """Reads new configurations; returns whether the store answered."""
         topic = records.CONFIGURATION_TOPIC
@@ -208,7 +219,8 @@
         # The store accepts only valid configurations, so a record that cannot
         # be decoded withdraws no key.
         if page.reaches_end:
-            catalog.confirm(page.asked_at)
+            if self.kernel.service('members').knows_fleet(now):
+                catalog.confirm(page.asked_at)
             self.reading.record_contact(page.asked_at)
         if any(adopted) and self.reading.passes_on(is_first, now):
             self.gossip.send_configuration(catalog.configuration)
--- a/teaselcove/ingress/members.py
+++ b/teaselcove/ingress/members.py
@@ -79,6 +79,7 @@
         heard: Those that sent a heartbeat recently.
         own: This host's record.
         started_at: When the process started.
+        is_joining: Whether it started beside other hosts, as far as it knows.
         resumed_at: When the process last resumed after a pause.
         searching_since: Since when this host hears no host of its zone.
         revision: Number of changes of what the other hosts report.
@@ -90,17 +91,36 @@
         self.heard: dict[HostId, Peer] = {}
         self.own: HostRecord | None = None
         self.started_at = Instant(0)
+        self.is_joining = False
         self.resumed_at = Instant(0)
         self.ticked_at: Instant | None = None
         self.searching_since = Instant(0)
         self.leaving = False
         self.revision = 0
 
-    def start(self, own: HostRecord, now: Instant) -> None:
-        """Sets this host's own record and start time."""
+    def start(
+        self, own: HostRecord, now: Instant, joining: bool = False
+    ) -> None:
+        """Sets this host's own record and start time.
+
+        Args:
+            own: The record.
+            now: Present time.
+            joining: Whether there may be other hosts that know more.
+        """
         self.own = own
         self.started_at = now
         self.searching_since = now
+        self.is_joining = joining
+
+    def knows_fleet(self, now: Instant) -> bool:
+        """Returns whether this host has heard another one, or waited for it.
+
+        Until then, the store is all that it knows, and may have come back from
+        an older copy than the other hosts know.
+        """
+        waited = now - self.started_at >= SETTLE_S
+        return waited or not self.is_joining or bool(self.heard)
 
     def tick(self, now: Instant) -> bool:
         """Records that the process runs; returns whether it was paused."""
--- a/teaselcove/ingress/registration.py
+++ b/teaselcove/ingress/registration.py
@@ -59,6 +59,7 @@
         )
         for _, record in found:
             fleet.add_host(record)
+        fleet.is_joining = bool(fleet.peers)
 
     async def retry(self, call: Callable[[], Awaitable[Any]]) -> Any:
         """Calls the store until the call succeeds."""
