Hear the other hosts sooner after a start

Callers were refused for longer after a kill of all hosts: since a host confirms no key before it has heard another one, it was ready up to 1.2 s later than before.

Cause: a host looked for others only a quarter of a second after it had registered, sent heartbeats each half second, and the first message on a link is lost because the link is still being opened.

Change: the records of the hosts are loaded and heartbeats sent at once, each 0.1 s until another host is heard; the records are loaded once more after the pause. When to poll for configurations is decided in `reading`.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -62,6 +62,7 @@
     Attributes:
         draining: Whether a stop was requested.
         exit_at: When the process exits at the latest after a stop request.
+        joined: Whether the other hosts were loaded once.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self.draining = False
         self.exit_at = Instant(float('inf'))
         self.stopping = asyncio.Event()
+        self.joined = asyncio.Event()
         self.supervisor = self.service('supervisor')
 
     def service(self, name: str) -> Any:
@@ -227,6 +229,7 @@
         start('follow-configuration', self.freshness.follow_configuration)
         start('keep-fresh', self.freshness.keep_fresh)
         start('join-fleet', self.join_fleet)
+        start('gossip', self.run_gossip)
         start('housekeeping', self.run_housekeeping)
 
     async def receive(self) -> None:
@@ -255,11 +258,21 @@
         ]
 
     async def join_fleet(self) -> None:
-        """Registers the host, loads the other hosts, then starts gossip."""
+        """Registers the host and loads the others, those beside it too."""
         await self.registration.register()
+        await self.load_hosts()
+        self.joined.set()
         await asyncio.sleep(REGISTER_PAUSE_S)
+        await self.load_hosts()
+
+    async def load_hosts(self) -> None:
+        """Loads the other hosts."""
         await self.registration.load_hosts()
         self.gossip.update_addresses()
+
+    async def run_gossip(self) -> None:
+        """Exchanges messages once the other hosts are loaded."""
+        await self.joined.wait()
         await self.gossip.run()
 
     async def run_housekeeping(self) -> None:
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -32,9 +32,6 @@
 
 log = logging.getLogger('teaselcove.store')
 
-# Seconds that a long poll waits, below the store's maximum of 30 s. Keep-alive
-# probes detect dead connections sooner.
-POLL_WAIT_S = 28
 # Seconds between checks of whether a host has to long poll itself.
 FOLLOW_CHECK_INTERVAL_S = 0.1
 # Seconds that a host waits for the reader to send a newer version before it
@@ -163,9 +160,11 @@
 
     async def follow_configuration(self) -> None:
         """Reads new configurations until cancelled."""
+        topic = records.CONFIGURATION_TOPIC
         backoff = INITIAL_BACKOFF_S
         while True:
-            wait = self.poll_wait(boot_time())
+            first = self.consumers[topic].offset is None
+            wait = self.reading.poll_wait(first, boot_time())
             if wait is None:
                 await asyncio.sleep(FOLLOW_CHECK_INTERVAL_S)
             elif await self.read_configuration(wait):
@@ -174,20 +173,6 @@
                 await asyncio.sleep(backoff)
                 backoff = min(MAX_BACKOFF_S, 2 * backoff)
 
-    def poll_wait(self, now: Instant) -> float | None:
-        """Returns the seconds that a poll may wait, or None for no poll."""
-        first = self.consumers[records.CONFIGURATION_TOPIC].offset is None
-        if first or self.can_confirm_first(now):
-            return 0
-        return POLL_WAIT_S if self.reading.must_follow(now) else None
-
-    def can_confirm_first(self, now: Instant) -> bool:
-        """Returns whether a version can be confirmed that never was before."""
-        catalog = self.kernel.service('catalog')
-        unconfirmed = catalog.version > 0 and catalog.confirmed_at is None
-        knows_fleet = self.kernel.service('members').knows_fleet(now)
-        return unconfirmed and knows_fleet and not catalog.is_behind
-
     async def read_configuration(self, wait: float = 0) -> bool:
         """Reads new configurations; returns whether the store answered."""
         topic = records.CONFIGURATION_TOPIC
--- a/teaselcove/ingress/gossip.py
+++ b/teaselcove/ingress/gossip.py
@@ -222,7 +222,9 @@
             now = boot_time()
             if self.members.tick(now):
                 log.warning('paused')
-            if tick % ticks_per_heartbeat == 0:
+            # The first message on a link is lost, as it is still being opened.
+            joining = not self.members.knows_fleet(now)
+            if joining or tick % ticks_per_heartbeat == 0:
                 self.heartbeats.send_heartbeats(now)
             self.kernel.service('health').check_overdue(now)
             self.send_report(now)
@@ -230,7 +232,7 @@
             tick += 1
             serving = self.heartbeats.was_in_use or bool(self.last_reported)
             pause = REPORT_INTERVAL_S
-            if not serving:
+            if not (serving or joining):
                 # Hosts that are not in use have nothing to report.
                 pause = HEARTBEAT_INTERVAL_S
                 tick = 0
--- a/teaselcove/ingress/reading.py
+++ b/teaselcove/ingress/reading.py
@@ -11,6 +11,9 @@
 from teaselcove.ingress.members import HEARTBEAT_TIMEOUT_S, SETTLE_S
 from teaselcove.kernel import Kernel
 
+# Seconds that a long poll waits, below the store's maximum of 30 s. Keep-alive
+# probes detect dead connections sooner.
+POLL_WAIT_S = 28
 # Seconds for which a host cannot be the reader after its reads failed.
 UNREACHABLE_READER_S = 10
 # Age in seconds of the reader's last contact with the store from which on a
@@ -113,6 +116,24 @@
         limit = FOLLOWER_AGE_S if follows else FOLLOW_AGE_S
         return now - self.followed_at > limit
 
+    def poll_wait(self, is_first: bool, now: Instant) -> float | None:
+        """Returns the seconds that a poll may wait, or None for no poll.
+
+        Args:
+            is_first: Whether nothing was read yet.
+            now: Present time.
+        """
+        if is_first or self.can_confirm_first(now):
+            return 0
+        return POLL_WAIT_S if self.must_follow(now) else None
+
+    def can_confirm_first(self, now: Instant) -> bool:
+        """Returns whether a version can be confirmed that never was before."""
+        catalog = self.kernel.service('catalog')
+        unconfirmed = catalog.version > 0 and catalog.confirmed_at is None
+        knows_fleet = self.kernel.service('members').knows_fleet(now)
+        return unconfirmed and knows_fleet and not catalog.is_behind
+
     def followed_as_of(
         self, host: HostId, passes_on: bool, now: Instant
     ) -> Instant | None:
