Take a page of the store that cannot be decoded for a failed read

Cause: the client of the store expected errors of msgspec where it decodes a page of newest records; nested values raise RecursionError, which ended the task that reads (now started again) without the back-off of a failed read.

Change: the guard that decodes entries also decodes pages.

Evidence: 1 of the 3 forms in TestPages fails without the change (nested lists that are cut off), none with it.

--- a/teaselcove/platform/store.py
+++ b/teaselcove/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from teaselcove.answer_memory import AnswerMemory
+from teaselcove.decoding import decoding
 from teaselcove.errors import (
     AppendUnknownError,
     CodecError,
@@ -309,10 +310,8 @@
         answer = await self.call('GET', 'log-newest', query)
         if answer.status != OK_STATUS:
             raise self.status_error('log-newest', answer.status)
-        try:
+        with decoding(topic):
             reply = msgspec.json.decode(answer.body, type=NewestReply)
-        except msgspec.MsgspecError as error:
-            raise CodecError(f'{topic}: {error}') from error
         return reply, answer.era
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
--- a/tests/test_ingress_joining.py
+++ b/tests/test_ingress_joining.py
@@ -135,3 +135,20 @@
         asyncio.run(registration.load_hosts())
         read(kernel)
         assert not accepts_key(kernel)
+
+
+class TestShares:
+    """Rates of organisations after all hosts were started again."""
+
+    def test_no_token_before_others_are_heard(self) -> None:
+        """Guards against tokens that the processes before have just spent."""
+        kernel = joining_kernel(since=0)
+        read(kernel)
+        acceptance = kernel.service('acceptance')
+        refusal = acceptance.accept(arrival(), boot_time())
+        assert refusal.reason is Reason.ISOLATED
+        assert not kernel.service('quotas').buckets
+        hear(kernel, OLD_VERSION)
+        read(kernel)
+        call = acceptance.accept(arrival(), boot_time())
+        assert call.organisation.id in kernel.service('quotas').buckets
--- a/tests/test_ingress_odd_entries.py
+++ b/tests/test_ingress_odd_entries.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from teaselcove.answer_memory import AnswerMemory
 from teaselcove.errors import CodecError
-from teaselcove.ids import Instant
+from teaselcove.ids import Era, Instant
 from teaselcove.ingress.entities import (
     IngressConfiguration,
     KeyedRecord,
@@ -16,6 +17,7 @@
 from teaselcove.kernel import Kernel
 from teaselcove.platform import hosts, records
 from teaselcove.platform.addresses import is_address
+from teaselcove.platform.store import StoreAnswer, StoreClient
 from tests.ingress_support import configuration, host_record, make_kernel
 
 DEPTH = 4096
@@ -171,3 +173,34 @@
 def fail(*_: object) -> None:
     """Fails as a fault in the code would."""
     raise ZeroDivisionError
+
+
+class AnsweringStore(StoreClient):
+    """A store whose answers to all calls have one body."""
+
+    def __init__(self, body: bytes) -> None:
+        super().__init__('127.0.0.1:1', AnswerMemory())
+        self.body = body
+
+    async def call(self, *arguments: object, **options: object) -> StoreAnswer:
+        """Answers a call."""
+        return StoreAnswer(200, self.body, Era(0))
+
+
+class TestPages:
+    """Pages of the store that cannot be read as a whole."""
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            f'{{"items":{NESTED[0]}}}'.encode(),
+            f'{{"other":{NESTED[1]}'.encode(),
+            b'{"items":[{"key":"a","offset":1e400}],"hasMore":false,"end":1}',
+        ],
+        ids=['nested', 'cut off', 'large number'],
+    )
+    def test_newest(self, body: bytes) -> None:
+        """Guards against an error that the readers do not expect."""
+        reader = Freshness(make_kernel(), AnsweringStore(body), UnusedGossip())
+        assert not asyncio.run(reader.read_servers())
+        assert reader.failures == 1
