Skip an entry that fails as it is applied, too

Cause: an entry that could be decoded and failed later, as it was applied, made the host read all entries again, and fail at the same one each time.

Change: `entry-reader` skips it, counts and logs it, as one that cannot be decoded. Any error of the encoder drops the message.

Evidence: test_entry_that_fails, which has no counterpart before.

--- a/teaselcove/ingress/daemon.py
+++ b/teaselcove/ingress/daemon.py
@@ -113,8 +113,8 @@
         """Returns whether the host can serve requests."""
         has_servers = self.service('discovery').confirmed_at is not None
         has_routes = self.service('catalog').confirmed_at is not None
-        knows_enough = has_routes and has_servers
-        return knows_enough and self.callers.is_open and not self.draining
+        can_serve = has_servers and has_routes and self.callers.is_open
+        return can_serve and not self.draining
 
     def resolve(self, zone: ZoneName) -> dict[str, Any]:
         """Returns the hosts that callers in a zone should use."""
--- a/teaselcove/ingress/entry_reader.py
+++ b/teaselcove/ingress/entry_reader.py
@@ -2,9 +2,11 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from typing import TypeVar
 
+from teaselcove.decoding import describe
 from teaselcove.errors import CodecError
 from teaselcove.ingress.entities import KeyedRecord
 from teaselcove.ingress.kernel import ingress_services
@@ -48,20 +50,34 @@
         try:
             return decoder(record)
         except CodecError as error:
-            self.skipped[topic] += 1
-            log.warning(
-                'entry-unreadable',
-                extra={
-                    'figures': {
-                        'topic': topic,
-                        'key': record.key,
-                        'offset': record.offset,
-                        'why': str(error),
-                    }
-                },
-            )
+            self.skip('entry-unreadable', topic, record, error)
         return None
 
+    @contextmanager
+    def applying(self, topic: str, record: KeyedRecord) -> Iterator[None]:
+        """Skips an entry that was read but cannot be applied."""
+        try:
+            yield
+        except Exception as error:
+            self.skip('entry-failed', topic, record, error)
+
+    def skip(
+        self, kind: str, topic: str, record: KeyedRecord, error: Exception
+    ) -> None:
+        """Counts and logs an entry that is skipped."""
+        self.skipped[topic] += 1
+        log.error(
+            kind,
+            extra={
+                'figures': {
+                    'topic': topic,
+                    'key': record.key,
+                    'offset': record.offset,
+                    'why': describe(error),
+                }
+            },
+        )
+
     def decode_all(
         self,
         topic: str,
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -341,14 +341,14 @@
         discovery = self.kernel.service('discovery')
         discovery.drop_expired(now)
         should_notify = self.reading.is_reader(now) and not complete
+        topic = records.SERVERS_TOPIC
         for record in page.records:
             name = BackendServerId(record.key)
-            entry = self.entries.decode(
-                records.SERVERS_TOPIC, record, server_entry
-            )
+            entry = self.entries.decode(topic, record, server_entry)
             news = ServerNews(name, record.offset, entry, page.era)
-            if discovery.apply(news, now) and should_notify:
-                self.gossip.send_server(news)
+            with self.entries.applying(topic, record):
+                if discovery.apply(news, now) and should_notify:
+                    self.gossip.send_server(news)
         if complete:
             listed = {BackendServerId(item.key) for item in page.records}
             end = Position(page.era, page.next_offset)
--- a/teaselcove/transport.py
+++ b/teaselcove/transport.py
@@ -204,7 +204,7 @@
         """
         try:
             payload = self.encode(host, body)
-        except (OverflowError, ValueError, TypeError) as error:
+        except Exception as error:
             self.drop(host, body, error)
             return
         try:
--- a/tests/test_ingress_odd_entries.py
+++ b/tests/test_ingress_odd_entries.py
@@ -160,6 +160,23 @@
         asyncio.run(registration.load_hosts())
         assert list(kernel.service('members').peers) == ['host-3']
 
+    def test_entry_that_fails(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against an entry that is read, and fails as it is applied."""
+        kernel = make_kernel()
+        reader = freshness(kernel, ('s1', server()), ('s2', server()))
+        discovery = kernel.service('discovery')
+        update = discovery.update
+        monkeypatch.setattr(
+            discovery,
+            'update',
+            lambda entry, *rest: (
+                fail() if entry.server.id == 's1' else update(entry, *rest)
+            ),
+        )
+        assert asyncio.run(reader.read_servers())
+        assert list(discovery.servers) == ['s2']
+        assert reader.entries.skipped == {records.SERVERS_TOPIC: 1}
+
     def test_failure_to_apply(self) -> None:
         """Guards against a list that counts as read without an entry."""
         kernel = make_kernel()
