--- a/teaselcove/platform/headers.py
+++ b/teaselcove/platform/headers.py
@@ -41,29 +41,30 @@
 
 def decode_server_limit(text: str | None) -> float | None:
     """Returns the limit in an answer, or None if there is no valid one."""
-    if text is None:
-        return None
-    try:
-        limit = float(text)
-    except ValueError:
-        limit = math.nan
-    if limit >= 0 and math.isfinite(limit):
-        return limit
-    log.warning('limit-unreadable', extra={'figures': {'text': text[:32]}})
-    return None
+    return decode_amount(text, 'limit-unreadable')
 
 
 def decode_retry_after(text: str | None) -> float | None:
     """Returns the seconds of a pause, or None if there is no valid one."""
+    return decode_amount(text, 'pause-unreadable')
+
+
+def decode_amount(text: str | None, problem: str) -> float | None:
+    """Returns a number in a header, or None if there is no valid one.
+
+    Args:
+        text: Value of the header, or None if it is absent.
+        problem: Kind of the log line for a value that is not valid.
+    """
     if text is None:
         return None
     try:
-        seconds = float(text)
+        amount = float(text)
     except ValueError:
-        seconds = math.nan
-    if seconds >= 0 and math.isfinite(seconds):
-        return seconds
-    log.warning('pause-unreadable', extra={'figures': {'text': text[:32]}})
+        amount = math.nan
+    if amount >= 0 and math.isfinite(amount):
+        return amount
+    log.warning(problem, extra={'figures': {'text': text[:32]}})
     return None
 
 
--- a/tests/test_transport_guard.py
+++ b/tests/test_transport_guard.py
@@ -15,6 +15,7 @@
 from teaselcove.ingress.peer_messages import LimitNews
 from teaselcove.settings import HostSettings
 from teaselcove.transport import Transport
+from tests.support import make_settings
 
 DEPTH = 5000
 NESTED = b'\x91' * DEPTH
@@ -22,15 +23,9 @@
 
 
 def settings() -> HostSettings:
-    """Returns the settings of a host without a port of its own."""
-    return HostSettings(
-        host='host-1',
-        zone='a',
-        address='127.0.0.1',
-        port=0,
-        peer_port=0,
-        log_url='',
-        list_url='',
+    """Returns the settings of a host that takes any free port."""
+    return msgspec.structs.replace(
+        make_settings(), address='127.0.0.1', peer_port=0
     )
 
 
