Rename the guard of a consumer, and name the new modules in the overviews

Two context managers had the same name, `applying`, for different things: one skips an entry, the other reads all records again. No other change.

--- a/teaselcove/ingress/__init__.py
+++ b/teaselcove/ingress/__init__.py
@@ -2,6 +2,7 @@
 
 Decisions are made in modules that take the current time as an argument:
 `catalog`, `discovery`, `health`, `balance`, `queueing`, `quotas`,
-`retry_window`, `members`, `freshness`. `requests` passes each request through
-them; `backend`, `server`, `sync`, `gossip` and `daemon` own sockets and tasks.
+`retry_window`, `members`, `freshness`, `announcements`. `requests` passes each
+request through them; `backend`, `server`, `gossip` and `daemon` own sockets and
+tasks, and `supervision` keeps the tasks running.
 """
--- a/teaselcove/ingress/freshness.py
+++ b/teaselcove/ingress/freshness.py
@@ -183,7 +183,7 @@
             self.read_failed(topic, error)
             return False
         now = boot_time()
-        with consumer.applying():
+        with consumer.read_again_on_failure():
             self.apply_configurations(page, now)
         return True
 
@@ -324,7 +324,7 @@
             self.kernel.service('discovery').recheck_recovery(
                 most_heartbeats(page), page.asked_at - since
             )
-        with consumer.applying():
+        with consumer.read_again_on_failure():
             self.apply_servers(page, complete, now)
         return True
 
--- a/teaselcove/ingress/topic_consumer.py
+++ b/teaselcove/ingress/topic_consumer.py
@@ -72,7 +72,7 @@
         return page
 
     @contextmanager
-    def applying(self) -> Iterator[None]:
+    def read_again_on_failure(self) -> Iterator[None]:
         """Wraps the use of a result; if it fails, all records are read again.
 
         Otherwise the records behind the one that failed would never be used,
