--- /dev/null
+++ b/review/support2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that the cases of the second review share."""
